--- /dev/null
+++ b/tests/holds_config.rs
@@ -0,0 +1,230 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{lookup, serve, setup};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use testkit::{
+    CallRequest, FLEET_KEY, TestFleet, TestService, account_record, call, policy_record,
+    service_record,
+};
+use tokio::time::{Instant, sleep};
+
+/// The users' bound for a change to be in force everywhere.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(18);
+
+async fn revision_of(fleet: &TestFleet, daemon: usize, key: &str) -> Value {
+    let path = format!("/v1/records/{key}");
+    let request = CallRequest::get(fleet.daemons[daemon].operators, "test", &path)
+        .with("authorization", &format!("Bearer {FLEET_KEY}"));
+    call(&request).await.map(|answer| answer.json()["revision"].clone()).unwrap_or_default()
+}
+
+/// Operators race at all entry VMs with lost answers; the history must have one order in which
+/// every accepted write is based on the one before.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_operator_races_have_one_order() {
+    const SEED: u64 = 11;
+    let (fleet, _service) = setup(3, 1, &json!({})).await;
+    let fleet = std::sync::Arc::new(fleet);
+    let mut operators = Vec::new();
+    for operator in 0..6_u64 {
+        let fleet = std::sync::Arc::clone(&fleet);
+        operators.push(tokio::spawn(async move {
+            let mut random = StdRng::seed_from_u64(SEED + operator);
+            let mut accepted = Vec::new();
+            for round in 0..8 {
+                let daemon = random.random_range(0..3);
+                let base = revision_of(&fleet, daemon, "shop/service/orders/2").await;
+                let spec = json!({ "timeout_ms": 1_000 + operator * 100 + round });
+                let record = service_record("shop", "orders", &spec);
+                let message = json!({ "verb": "replace", "record": record, "base": base });
+                if random.random_range(0..6) == 0 {
+                    fleet.platform.lose_answers(1);
+                }
+                let answer = fleet.write(daemon, FLEET_KEY, &message).await;
+                match answer.status {
+                    200 => accepted.push((base, answer.json()["revision"].clone())),
+                    409 => {}
+                    status => panic!("seed {SEED}: status {status}: {}", answer.text()),
+                }
+            }
+            accepted
+        }));
+    }
+    let mut accepted: Vec<(u64, u64)> = Vec::new();
+    for operator in operators {
+        for (base, revision) in operator.await.expect("the operator ends") {
+            accepted.push((base.as_u64().expect("a number"), revision.as_u64().expect("a number")));
+        }
+    }
+    accepted.sort_by_key(|(_, revision)| *revision);
+    assert!(accepted.len() > 3, "seed {SEED}: {accepted:?}");
+    for pair in accepted.windows(2) {
+        assert_eq!(pair[0].1, pair[1].0, "seed {SEED}: lost update in {accepted:?}");
+    }
+    let newest = accepted.last().expect("some were accepted").1;
+    fleet.wait_revision(newest).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_write_with_lost_answer_is_never_refused() {
+    let (fleet, _service) = setup(2, 1, &json!({})).await;
+    for round in 0..5 {
+        fleet.platform.lose_answers(1);
+        let record = service_record("shop", &format!("extra-{round}"), &Value::Null);
+        let message = json!({ "verb": "put", "record": record });
+        let answer = fleet.write(round % 2, FLEET_KEY, &message).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_repeated_operation_is_done_once() {
+    let (fleet, _service) = setup(2, 1, &json!({})).await;
+    let record = service_record("shop", "extra", &Value::Null);
+    let message = json!({ "verb": "put", "record": record, "operation": "0123abcd" });
+    let first = fleet.write(0, FLEET_KEY, &message).await;
+    let second = fleet.write(1, FLEET_KEY, &message).await;
+    assert_eq!((first.status, second.status), (200, 200), "{}", second.text());
+    assert_eq!(first.json()["revision"], second.json()["revision"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_table_down_right_after_accepting() {
+    let (mut fleet, service) = setup(3, 2, &json!({})).await;
+    let rules = json!([
+        { "host": "shop.test", "path_prefix": "/", "service": "orders" },
+        { "host": "new.test", "path_prefix": "/", "service": "orders" },
+    ]);
+    fleet.write(0, FLEET_KEY, &replace_account(&fleet, &["shop.test", "new.test"]).await).await;
+    let base = revision_of(&fleet, 0, "shop/routing-policy/front/2").await;
+    let record = policy_record("shop", "front", &rules);
+    let message = json!({ "verb": "replace", "record": record, "base": base });
+    let answer = fleet.write(0, FLEET_KEY, &message).await;
+    fleet.platform.set_down(true);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let accepted_at = Instant::now();
+    fleet.wait_serving("new.test").await;
+    assert!(accepted_at.elapsed() < IN_FORCE_BOUND);
+    // A VM that starts during the outage gets the configuration from its peers.
+    let mut listed = service.entries.clone();
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        let mut entry = service.entries[0].clone();
+        entry.id = format!("entry-{number}").parse().expect("the name is valid");
+        entry.account = "fleet".parse().expect("the name is valid");
+        entry.group = "entry".parse().expect("the name is valid");
+        entry.address = daemon.peers;
+        listed.push(entry);
+    }
+    fleet.platform.set_servers(listed);
+    // Long enough that every confirmation by the table has lapsed.
+    sleep(Duration::from_secs(10)).await;
+    fleet.wait_serving("new.test").await;
+    let fresh = fleet.add_daemon(&json!({}));
+    fleet.daemons[fresh].wait_ready().await;
+    fleet.wait_serving("new.test").await;
+}
+
+async fn replace_account(fleet: &TestFleet, hosts: &[&str]) -> Value {
+    let base = revision_of(fleet, 0, "shop/client-account/shop/1").await;
+    json!({ "verb": "replace", "record": account_record("shop", hosts), "base": base })
+}
+
+/// A daemon that was frozen while a route was moved to another service must not use the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_frozen_vm_serves_nothing_old() {
+    let fleet = TestFleet::start(common::DAEMON.as_ref(), 3).await;
+    let old = TestService::start("shop", "old", 2, 4, &serve(Duration::from_millis(1))).await;
+    let new = TestService::start("shop", "new", 2, 4, &serve(Duration::from_millis(1))).await;
+    let entries = [old.entries.clone(), new.entries.clone()].concat();
+    fleet.platform.set_servers(entries);
+    fleet.put_account("shop", &old, &json!({})).await;
+    let revision = fleet.put(&service_record("shop", "new", &Value::Null)).await;
+    fleet.wait_revision(revision).await;
+    fleet.wait_serving("shop.test").await;
+    fleet.daemons[2].freeze();
+    let rules = json!([{ "host": "shop.test", "path_prefix": "/", "service": "new" }]);
+    let base = revision_of(&fleet, 0, "shop/routing-policy/front/2").await;
+    let record = policy_record("shop", "front", &rules);
+    let message = json!({ "verb": "replace", "record": record, "base": base });
+    let answer = fleet.write(0, FLEET_KEY, &message).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    sleep(Duration::from_secs(12)).await;
+    // These wait in the frozen daemon's socket and are the first that it sees when it wakes.
+    let waiting: Vec<_> = (0..20)
+        .map(|number| {
+            let request = lookup(&fleet, 2, &format!("woken-{number}"));
+            tokio::spawn(async move { call(&request).await })
+        })
+        .collect();
+    sleep(Duration::from_millis(300)).await;
+    fleet.daemons[2].thaw();
+    for request in waiting {
+        let answer = request.await.expect("the call ends").expect("answered");
+        assert!(!answer.text().contains("shop-old"), "{}", answer.text());
+        assert!(matches!(answer.status, 200 | 503), "{}", answer.text());
+    }
+    let ran_old = (0..20).filter(|n| old.runs_of(&format!("woken-{n}")) > 0).count();
+    assert_eq!(ran_old, 0);
+}
+
+/// No caller that asks one entry VM again and again sees an older configuration after a newer one.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_never_reverts_in_sequence() {
+    let fleet = TestFleet::start(common::DAEMON.as_ref(), 3).await;
+    let mut services = Vec::new();
+    let mut entries = Vec::new();
+    for number in 0..4 {
+        let group = format!("step-{number}");
+        let service =
+            TestService::start("shop", &group, 1, 4, &serve(Duration::from_millis(1))).await;
+        entries.extend(service.entries.clone());
+        services.push(service);
+    }
+    fleet.platform.set_servers(entries);
+    fleet.put_account("shop", &services[0], &json!({})).await;
+    for number in 1..4 {
+        fleet.put(&service_record("shop", &format!("step-{number}"), &Value::Null)).await;
+    }
+    fleet.wait_serving("shop.test").await;
+    let watchers: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| {
+            let request = CallRequest::get(daemon.callers, "shop.test", "/step");
+            tokio::spawn(async move {
+                let mut last = 0;
+                while last < 3 {
+                    let answer = call(&request).await.expect("answered");
+                    assert_eq!(answer.status, 200, "{}", answer.text());
+                    let text = answer.text();
+                    let step = text.chars().nth("shop-step-".len()).and_then(|c| c.to_digit(10));
+                    let step = step.expect("the answer names the step");
+                    assert!(step >= last, "step {step} after {last}");
+                    last = step;
+                }
+            })
+        })
+        .collect();
+    for number in 1..4 {
+        let rules = json!([
+            { "host": "shop.test", "path_prefix": "/", "service": format!("step-{number}") }
+        ]);
+        let base = revision_of(&fleet, 0, "shop/routing-policy/front/2").await;
+        let record = policy_record("shop", "front", &rules);
+        let message = json!({ "verb": "replace", "record": record, "base": base });
+        let answer = fleet.write(number % 3, FLEET_KEY, &message).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    for watcher in watchers {
+        tokio::time::timeout(IN_FORCE_BOUND, watcher)
+            .await
+            .expect("in force within the bound")
+            .expect("no caller saw a step back");
+    }
+}
--- /dev/null
+++ b/tests/holds_shutdown.rs
@@ -0,0 +1,115 @@
+//! A graceful shutdown cuts no request in flight.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use common::slow_setup;
+use serde_json::json;
+use testkit::{CallFault, CallRequest, call};
+use tokio::time::sleep;
+
+/// What the platform's balancer knows: which daemons take new connections.
+type OpenDaemons = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Sends one request as the balancer would: a refused connection goes to another daemon.
+async fn send(open: &OpenDaemons, mut request: CallRequest, number: usize) -> bool {
+    for attempt in 0..50 {
+        let addresses = open.lock().expect("never poisoned").clone();
+        request.address = addresses[(number + attempt) % addresses.len()];
+        match call(&request).await {
+            Ok(answer) => return answer.status == 200,
+            Err(CallFault::Refused) => sleep(Duration::from_millis(20)).await,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
+/// Every daemon is replaced under load with lookups, orders with keys, and uploads.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_shutdown_rolling_replacement_cuts_nothing() {
+    let (mut fleet, service) = slow_setup(3, Duration::from_millis(150)).await;
+    let open: OpenDaemons =
+        Arc::new(Mutex::new(fleet.daemons.iter().map(|daemon| daemon.callers).collect()));
+    let is_done = Arc::new(AtomicBool::new(false));
+    let sent = Arc::new(AtomicUsize::new(0));
+    let mut callers = Vec::new();
+    for caller in 0..6 {
+        let (open, is_done, sent) = (Arc::clone(&open), Arc::clone(&is_done), Arc::clone(&sent));
+        callers.push(tokio::spawn(async move {
+            let mut failed = Vec::new();
+            while !is_done.load(Ordering::SeqCst) {
+                let number = sent.fetch_add(1, Ordering::SeqCst);
+                let tag = format!("request-{number}");
+                let address = "127.0.0.1:1".parse().expect("the address is valid");
+                let request = match caller % 3 {
+                    0 => CallRequest::get(address, "shop.test", "/records"),
+                    1 => CallRequest::post(address, "shop.test", "/orders", "one stone")
+                        .with("idempotency-key", &tag),
+                    _ => CallRequest::post(address, "shop.test", "/proofs", vec![7; 2_000_000]),
+                };
+                if !send(&open, request.with("x-request", &tag), number).await {
+                    failed.push(tag);
+                }
+            }
+            failed
+        }));
+    }
+    sleep(Duration::from_millis(500)).await;
+    for replaced in 0..3 {
+        let started = fleet.add_daemon(&json!({}));
+        fleet.daemons[started].wait_ready().await;
+        let new = fleet.daemons[started].callers;
+        let old = fleet.daemons[replaced].callers;
+        {
+            let mut open = open.lock().expect("never poisoned");
+            open.retain(|address| *address != old);
+            open.push(new);
+        }
+        fleet.daemons[replaced].terminate();
+        // A second signal changes nothing for requests in flight.
+        sleep(Duration::from_millis(100)).await;
+        fleet.daemons[replaced].terminate();
+        assert_eq!(fleet.daemons[replaced].wait_ended().await, 0);
+    }
+    is_done.store(true, Ordering::SeqCst);
+    let mut failed = Vec::new();
+    for caller in callers {
+        failed.extend(caller.await.expect("the caller ends"));
+    }
+    let total = sent.load(Ordering::SeqCst);
+    assert!(failed.is_empty(), "{} of {total} failed: {failed:?}", failed.len());
+    for number in 0..total {
+        let runs = service.runs_of(&format!("request-{number}"));
+        assert_eq!(runs, 1, "request-{number} ran {runs} times");
+    }
+}
+
+/// Outcomes of orders that were under way are recorded before the daemon ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_shutdown_records_outcomes_of_orders() {
+    let (mut fleet, service) = slow_setup(2, Duration::from_millis(400)).await;
+    let running: Vec<_> = (0..5)
+        .map(|number| {
+            let tag = format!("order-{number}");
+            let request = common::order(&fleet, 0, &tag, &tag);
+            tokio::spawn(async move { call(&request).await })
+        })
+        .collect();
+    while (0..5).any(|number| service.runs_of(&format!("order-{number}")) == 0) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    fleet.daemons[0].terminate();
+    for (number, running) in running.into_iter().enumerate() {
+        let first = running.await.expect("the call ends").expect("answered");
+        assert_eq!(first.status, 200, "{}", first.text());
+        let tag = format!("order-{number}");
+        let repeat = call(&common::order(&fleet, 1, &tag, &tag)).await.expect("answered");
+        assert_eq!((repeat.status, repeat.text()), (200, first.text()));
+    }
+    assert_eq!(fleet.daemons[0].wait_ended().await, 0);
+}
