--- a/components/balance/src/group.rs
+++ b/components/balance/src/group.rs
@@ -6,11 +6,15 @@
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use model::{FastMap, ServerId, ZoneName};
+use model::{FastMap, ServerId};
 
 use crate::custom::{CandidateView, CustomChoice};
 use crate::estimate::{GroupView, current_service, estimate_in_flight, estimate_request};
-use crate::server::{BackendServer, LoadReport, ServerAddress};
+use crate::server::{BackendServer, ServerAddress};
+use crate::types::{
+    BalanceOptions, GroupSpec, ListedServer, PickOutcome, ProbeOutcome, ProbeTarget, RequestSample,
+    SampleOutcome, ServerTicket,
+};
 
 /// Servers looked at for one choice. A group of at most this many is looked at whole.
 const MAX_CANDIDATES: usize = 16;
@@ -33,124 +37,6 @@
 /// Age of the last report or answer from which a probe of the server is worth its cost.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 
-/// What a service's record says about its servers.
-#[derive(Debug, Clone, PartialEq)]
-pub struct GroupSpec {
-    /// Requests that one server runs at a time.
-    pub slots: u32,
-    /// Usual time of a request.
-    pub expected: Duration,
-    /// Connections that this entry VM may have to one server. Invariant: at least 1.
-    pub connections: u32,
-    /// This entry VM's availability zone.
-    pub zone: ZoneName,
-}
-
-/// Choices of policy that operators do not set.
-#[derive(Debug, Clone, Copy)]
-pub struct BalanceOptions {
-    /// Time to another availability zone and back.
-    pub zone_cost: Duration,
-    /// Time until a new server gets its full share.
-    pub slow_start: Duration,
-    /// Largest relative error that is added to each estimate, so that entry VMs with the same
-    /// reports do not all choose the same server.
-    pub noise: f64,
-    /// Cost, in service times, of a server that is not one of this entry VM's home servers.
-    pub away_cost: f64,
-}
-
-impl Default for BalanceOptions {
-    fn default() -> Self {
-        Self {
-            zone_cost: Duration::from_millis(1),
-            slow_start: Duration::from_secs(10),
-            noise: 0.1,
-            away_cost: 0.1,
-        }
-    }
-}
-
-/// A server as the platform's list names it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedServer {
-    /// Identity and place.
-    pub place: ServerAddress,
-    /// Whether the list says that it is leaving.
-    pub is_leaving: bool,
-    /// Whether it is one of the few servers that this entry VM uses first. An entry VM that sends
-    /// much to few servers knows their load better than one that sends a little to all.
-    pub is_home: bool,
-}
-
-/// Names a server of a group. A ticket of a server that has gone does no harm.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ServerTicket {
-    index: usize,
-    serial: u64,
-}
-
-/// A choice.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum PickOutcome {
-    /// Send the request there. The caller of `pick` must call `finish` with the ticket.
-    Chosen {
-        /// Names the server.
-        ticket: ServerTicket,
-        /// Where it listens.
-        address: SocketAddr,
-    },
-    /// Every server is so busy that the request would miss its deadline.
-    Saturated {
-        /// Estimated wait for a slot at the best server.
-        wait: Duration,
-    },
-    /// No server takes new work.
-    NoServer,
-}
-
-/// How a request at a server ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RequestSample {
-    /// How it ended.
-    pub outcome: SampleOutcome,
-    /// Time from sending to the head of the answer.
-    pub elapsed: Duration,
-    /// Load report that came with the answer.
-    pub report: Option<LoadReport>,
-}
-
-/// How a request at a server ended, as far as it tells about the server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SampleOutcome {
-    /// The server answered.
-    Answered,
-    /// The server answered that it failed, or broke off.
-    Failed,
-    /// No connection could be opened.
-    Unreachable,
-    /// The caller went away, or another try answered first.
-    Cancelled,
-}
-
-/// How a probe ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum ProbeOutcome {
-    /// The server answered, perhaps with a load report.
-    Answered(Option<LoadReport>),
-    /// The server could not be reached or broke off.
-    Failed,
-}
-
-/// A server worth a probe.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ProbeTarget {
-    /// Names the server.
-    pub ticket: ServerTicket,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
 /// The backend servers of one service.
 #[derive(Debug)]
 pub struct ServerGroup {
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -9,11 +9,13 @@
 mod group;
 mod server;
 mod subset;
+mod types;
 
 pub use custom::{CandidateView, CustomChoice};
-pub use group::{
-    BalanceOptions, GroupSpec, ListedServer, PickOutcome, ProbeOutcome, ProbeTarget, RequestSample,
-    SampleOutcome, ServerGroup, ServerTicket,
-};
+pub use group::ServerGroup;
 pub use server::{LoadReport, ServerAddress};
 pub use subset::{choose_home, choose_subset};
+pub use types::{
+    BalanceOptions, GroupSpec, ListedServer, PickOutcome, ProbeOutcome, ProbeTarget, RequestSample,
+    SampleOutcome, ServerTicket,
+};
--- a/components/daemon/src/control/catch_up.rs
+++ b/components/daemon/src/control/catch_up.rs
@@ -1,7 +1,7 @@
 //! Reads what the platform's table holds beyond a known revision.
 
 use model::RevisionNumber;
-use platform::{ScanRequest, StoreError, TableClient, TableRow};
+use platform::{ScanRequest, StoreError, TableClient};
 use records::{
     CHANGE_PREFIX, ChangeEntry, ConfigSnapshot, RECORD_PREFIX, REVISION_KEY, change_key,
     read_change, read_record, read_revision,
@@ -85,7 +85,7 @@
             limit: PAGE_CHANGES,
         };
         let rows = table.scan(&request).await?;
-        for entry in rows.iter().map_while(read_row) {
+        for entry in rows.iter().map_while(read_change) {
             if entry.revision != last.next() {
                 return Ok(None);
             }
@@ -100,10 +100,6 @@
     Ok(Some(entries))
 }
 
-fn read_row(row: &TableRow) -> Option<ChangeEntry> {
-    read_change(row)
-}
-
 /// All records at a revision. The rows are read a page at a time while writes go on, so the
 /// changes that came meanwhile are applied over them.
 async fn load_whole(
--- a/components/daemon/src/control/probing.rs
+++ b/components/daemon/src/control/probing.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, interval};
 
 use board::Blackboard;
-use members::{HeldSlot, probe_parts};
+use members::probe_parts;
 use model::FastMap;
 use observe::DaemonMetrics;
 use proxy::{ProbeOrder, ServiceTable, run_probe};
@@ -56,7 +56,9 @@
                 let order = ProbeOrder {
                     target,
                     path: plan.spec.probe_path.clone(),
-                    valid_until: latest_start(held),
+                    // A probe that could not start by then is dropped: its budget may belong to
+                    // another VM.
+                    valid_until: held.valid_until,
                 };
                 let probe = run_probe(Arc::clone(&runtime), order, arguments.metrics.clone());
                 arguments.data.spawn(probe);
@@ -64,8 +66,3 @@
         }
     }
 }
-
-/// A probe that could not start by then is dropped: its budget may belong to another VM.
-fn latest_start(held: HeldSlot) -> Instant {
-    held.valid_until
-}
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -22,8 +22,6 @@
     sleep: Option<Pin<Box<Sleep>>>,
     /// Invariant: `None` only after the exchange ended.
     lease: Option<ExchangeLease>,
-    /// Bytes that were read already.
-    prefix: Bytes,
     /// Counts the request as in flight until the body is dropped.
     _permit: AdmissionPermit,
 }
@@ -36,21 +34,14 @@
         lease: ExchangeLease,
         permit: AdmissionPermit,
     ) -> Self {
-        let prefix = Bytes::new();
         let lease = Some(lease);
-        let mut body = Self { incoming, deadline, sleep: None, lease, prefix, _permit: permit };
+        let mut body = Self { incoming, deadline, sleep: None, lease, _permit: permit };
         if body.incoming.is_end_stream() {
             body.end_whole();
         }
         body
     }
 
-    /// Puts bytes that were read before in front again.
-    pub(crate) fn with_prefix(mut self, prefix: Bytes) -> Self {
-        self.prefix = prefix;
-        self
-    }
-
     fn end_whole(&mut self) {
         if let Some(lease) = self.lease.take() {
             lease.end_whole();
@@ -78,9 +69,6 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.prefix.is_empty() {
-            return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.prefix)))));
-        }
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
         if polled.is_pending() {
             ready!(self.poll_deadline(context));
@@ -108,17 +96,10 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.prefix.is_empty() && self.incoming.is_end_stream()
+        self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix = self.prefix.len() as u64;
-        let rest = self.incoming.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(prefix + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(prefix + upper);
-        }
-        hint
+        self.incoming.size_hint()
     }
 }
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -152,6 +152,11 @@
     /// Chooses a server for the first try.
     fn choose(&mut self) -> Result<ExchangeLease, RequestRefusal> {
         let now = Instant::now();
+        // Looked at again, since a process can be paused while a request waits for its body or
+        // its claim.
+        if !self.parts.board.may_serve(now) {
+            return Err(RequestRefusal::ConfigStale);
+        }
         let Some(remaining) = self.deadline.checked_duration_since(now).filter(|d| !d.is_zero())
         else {
             return Err(RequestRefusal::DeadlineBefore);
--- a/components/proxy/src/handler.rs
+++ b/components/proxy/src/handler.rs
@@ -8,13 +8,13 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response};
 use opentelemetry::trace::SpanKind;
 use tokio::time::{Instant, timeout_at};
 
 use board::Blackboard;
-use claims::{ClaimKey, RecordedAnswer, RequestFingerprint};
+use claims::ClaimKey;
 use limits::{AdmissionGate, AdmissionOutcome};
 use model::{AccountId, IdempotencyRule, KeyPolicy, OutagePolicy, RevisionNumber};
 use observe::{DaemonMetrics, RequestOutcome, TraceExporter};
@@ -25,21 +25,20 @@
 use crate::dispatch::{DispatchParts, RequestDispatch, RequestHead};
 use crate::exchange::ServerAnswer;
 use crate::headers::{
-    REPLAYED_HEADER, has_dot_segments, read_deadline, read_host, remove_hop_by_hop, set_forwarding,
+    has_dot_segments, read_deadline, read_host, remove_hop_by_hop, set_forwarding,
 };
+use crate::prefixed::PrefixedBody;
+use crate::recorded::{fingerprint, read_key, recorded, replay};
 use crate::refusal::{OUTCOME_HEADER, RequestRefusal, RunOutcome};
 use crate::request_body::{BodyError, BodyLimits, RequestBody, deadline_after};
 use crate::service::ServiceTable;
 
-/// Header by which a caller names a request that must not run twice.
-const KEY_HEADER: &str = "idempotency-key";
-
-/// Longest `Idempotency-Key` in bytes.
-const MAX_KEY_BYTES: usize = 255;
-
 /// Largest answer body that is recorded for repeated requests.
 const MAX_RECORDED_BYTES: usize = 16 << 10;
 
+/// How long a drain waits between two looks at the requests in flight.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
 /// Account name under which metrics count requests without a route.
 const NO_ACCOUNT: &str = "none";
 
@@ -99,6 +98,13 @@
         self.gate().in_flight()
     }
 
+    /// Waits until no request is in flight and no claim waits.
+    pub async fn drained(&self) {
+        while self.in_flight() > 0 || !self.desk.is_empty() {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+    }
+
     /// Answers one request.
     pub async fn handle(
         self: Arc<Self>,
@@ -144,18 +150,11 @@
             return Err(RequestRefusal::ConfigStale);
         }
         let host = read_host(&request).map_err(RequestRefusal::Malformed)?;
-        let path = request.uri().path();
-        if has_dot_segments(path) {
-            return Err(RequestRefusal::Malformed("its path has dot segments"));
-        }
-        if request.method() == Method::CONNECT || request.headers().contains_key("upgrade") {
-            return Err(RequestRefusal::Malformed("tunnels and upgrades are not supported"));
-        }
+        check_form(&request)?;
         let config = self.parts.board.config();
-        let Some(route) = config.routing.find(&host, path) else {
+        let Some(route) = config.routing.find(&host, request.uri().path()).cloned() else {
             return Err(RequestRefusal::NoRoute);
         };
-        let route = Arc::clone(route);
         *account = Some(route.account.id.clone());
         let permit = self.admit(&route, now)?;
         let head = forwarded_head(&request, caller, &host)?;
@@ -267,25 +266,13 @@
             }
         };
         let (parts, mut body) = into_stream(answer, deadline, permit);
-        let mut kept = BytesMut::new();
-        while kept.len() <= MAX_RECORDED_BYTES && !body.is_end_stream() {
-            match body.frame().await {
-                None => break,
-                // The answer broke off: what ran stays unknown to repeated requests too.
-                Some(Err(_)) => return Err(RequestRefusal::BrokenOff),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        kept.extend_from_slice(&data);
-                    }
-                }
-            }
-        }
-        let kept = kept.freeze();
-        let is_whole = body.is_end_stream();
+        // An answer that breaks off stays unknown to repeated requests too.
+        let (kept, is_whole) =
+            read_recordable(&mut body).await.map_err(|_| RequestRefusal::BrokenOff)?;
         self.desk.record(claim, recorded(&parts.status, &parts.headers, is_whole.then_some(&kept)));
         let body = match is_whole {
             true => Full::new(kept).map_err(|never| match never {}).boxed_unsync(),
-            false => body.with_prefix(kept).boxed_unsync(),
+            false => PrefixedBody::new(kept, body).boxed_unsync(),
         };
         Ok((Response::from_parts(parts, body), RequestOutcome::Answered))
     }
@@ -295,6 +282,17 @@
     }
 }
 
+/// Refuses requests that can't be forwarded without changing their meaning.
+fn check_form(request: &Request<()>) -> Result<(), RequestRefusal> {
+    if has_dot_segments(request.uri().path()) {
+        return Err(RequestRefusal::Malformed("its path has dot segments"));
+    }
+    if request.method() == Method::CONNECT || request.headers().contains_key("upgrade") {
+        return Err(RequestRefusal::Malformed("tunnels and upgrades are not supported"));
+    }
+    Ok(())
+}
+
 fn is_idempotent(routed: &RoutedRequest) -> bool {
     match routed.route.rule.idempotent {
         IdempotencyRule::Always => true,
@@ -321,45 +319,6 @@
     Ok(RequestHead { method: request.method().clone(), target, headers })
 }
 
-fn read_key(headers: &HeaderMap) -> Result<Option<Box<str>>, RequestRefusal> {
-    let mut named = headers.get_all(KEY_HEADER).iter();
-    let Some(value) = named.next() else {
-        return Ok(None);
-    };
-    if named.next().is_some() {
-        return Err(RequestRefusal::Malformed("it has more than one Idempotency-Key"));
-    }
-    match value.to_str() {
-        Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(key.into())),
-        _ => Err(RequestRefusal::Malformed("its Idempotency-Key is not 1 to 255 characters")),
-    }
-}
-
-fn claim_wish(routed: &RoutedRequest, key: Box<str>, body_part: &Bytes) -> ClaimWish {
-    let head = &routed.head;
-    let digest = head.headers.get("content-digest").map_or(&b""[..], HeaderValue::as_bytes);
-    let length = head.headers.get("content-length").map_or(&b""[..], HeaderValue::as_bytes);
-    let fingerprint = RequestFingerprint::of(&[
-        head.method.as_str().as_bytes(),
-        head.target.to_string().as_bytes(),
-        length,
-        digest,
-        body_part,
-    ]);
-    let account = &routed.route.account;
-    ClaimWish {
-        key: ClaimKey {
-            account: account.id.clone(),
-            service: routed.route.service.key.name.clone(),
-            key,
-        },
-        fingerprint,
-        deadline: routed.deadline,
-        waiting_limit: account.spec.limits.waiting_claims as usize,
-        may_run_unclaimed: routed.route.rule.store_outage == OutagePolicy::SendOnce,
-    }
-}
-
 fn into_stream(
     answer: ServerAnswer,
     deadline: Instant,
@@ -373,33 +332,37 @@
     (parts, AnswerBody::new(incoming, deadline, answer.lease, permit))
 }
 
-fn recorded(status: &StatusCode, headers: &HeaderMap, body: Option<&Bytes>) -> RecordedAnswer {
-    let headers = headers
-        .iter()
-        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-        .collect();
-    RecordedAnswer { status: status.as_u16(), headers, body: body.map(|bytes| bytes.to_vec()) }
+/// The beginning of an answer's body, and whether that is all of it.
+async fn read_recordable(body: &mut AnswerBody) -> Result<(Bytes, bool), BodyError> {
+    let mut kept = BytesMut::new();
+    while !body.is_end_stream() {
+        if kept.len() > MAX_RECORDED_BYTES {
+            return Ok((kept.freeze(), false));
+        }
+        // A chunked body shows its end only by having no further frame.
+        let Some(frame) = body.frame().await else {
+            break;
+        };
+        if let Ok(data) = frame?.into_data() {
+            kept.extend_from_slice(&data);
+        }
+    }
+    Ok((kept.freeze(), true))
 }
 
-/// Marks a replayed answer whose body was too large to record.
-const BODY_NOT_KEPT: HeaderValue = HeaderValue::from_static("body-not-kept");
-
-fn replay(answer: &RecordedAnswer) -> Response<AnswerStream> {
-    let body = answer.body.clone().unwrap_or_default();
-    let body = Full::new(Bytes::from(body)).map_err(|never| match never {}).boxed_unsync();
-    let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    for (name, value) in &answer.headers {
-        let is_length = &**name == "content-length" && answer.body.is_none();
-        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value), false) = (name, HeaderValue::from_str(value), is_length) {
-            response.headers_mut().append(name, value);
-        }
+fn claim_wish(routed: &RoutedRequest, key: Box<str>, body_part: &Bytes) -> ClaimWish {
+    let account = &routed.route.account;
+    ClaimWish {
+        key: ClaimKey {
+            account: account.id.clone(),
+            service: routed.route.service.key.name.clone(),
+            key,
+        },
+        fingerprint: fingerprint(&routed.head, body_part),
+        deadline: routed.deadline,
+        waiting_limit: account.spec.limits.waiting_claims as usize,
+        may_run_unclaimed: routed.route.rule.store_outage == OutagePolicy::SendOnce,
     }
-    let mark =
-        if answer.body.is_some() { HeaderValue::from_static("whole") } else { BODY_NOT_KEPT };
-    response.headers_mut().insert(REPLAYED_HEADER, mark);
-    response
 }
 
 /// What a body that broke off before anything was sent means for the caller.
@@ -410,15 +373,3 @@
         _ => RequestRefusal::Malformed("its body broke off"),
     }
 }
-
-/// How long a drain waits between two looks at the requests in flight.
-const DRAIN_LOOK: Duration = Duration::from_millis(20);
-
-impl RequestHandler {
-    /// Waits until no request is in flight and no claim waits.
-    pub async fn drained(&self) {
-        while self.in_flight() > 0 || !self.desk.is_empty() {
-            tokio::time::sleep(DRAIN_LOOK).await;
-        }
-    }
-}
--- /dev/null
+++ b/components/proxy/src/prefixed.rs
@@ -0,0 +1,53 @@
+//! A body whose beginning was read already.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::request_body::BodyError;
+
+/// Bytes that were read from a body, in front of the rest of it.
+pub(crate) struct PrefixedBody<B> {
+    prefix: Bytes,
+    body: B,
+}
+
+impl<B> PrefixedBody<B> {
+    /// Puts `prefix` in front of `body` again.
+    pub(crate) fn new(prefix: Bytes, body: B) -> Self {
+        Self { prefix, body }
+    }
+}
+
+impl<B: Body<Data = Bytes, Error = BodyError> + Unpin> Body for PrefixedBody<B> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.prefix.is_empty() {
+            let prefix = std::mem::take(&mut self.prefix);
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix.is_empty() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let prefix = self.prefix.len() as u64;
+        let rest = self.body.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(prefix + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(prefix + upper);
+        }
+        hint
+    }
+}
--- a/components/proxy/src/request_body.rs
+++ b/components/proxy/src/request_body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, Sleep, timeout};
 
 use crate::pool::SendBody;
+use crate::prefixed::PrefixedBody;
 
 /// Largest body that is kept whole to be sent again.
 const MAX_KEPT_BYTES: u64 = 64 << 10;
@@ -108,7 +109,7 @@
                 let Self::Streamed(prefix, body) = std::mem::replace(self, Self::Sent) else {
                     return Empty::new().map_err(|never| match never {}).boxed_unsync();
                 };
-                PrefixedBody { prefix, body }.boxed_unsync()
+                PrefixedBody::new(prefix, body).boxed_unsync()
             }
         }
     }
@@ -192,43 +193,6 @@
     }
 }
 
-/// A body whose beginning was read already.
-struct PrefixedBody {
-    prefix: Bytes,
-    body: LimitedBody,
-}
-
-impl Body for PrefixedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.prefix.is_empty() {
-            let prefix = std::mem::take(&mut self.prefix);
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
-        }
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.prefix.is_empty() && self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let prefix = self.prefix.len() as u64;
-        let rest = self.body.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(prefix + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(prefix + upper);
-        }
-        hint
-    }
-}
-
 /// When a deadline that callers may not exceed is reached.
 pub(crate) fn deadline_after(now: Instant, longest: Duration, asked: Option<Duration>) -> Instant {
     now + asked.map_or(longest, |asked| asked.min(longest))
--- a/components/testkit/src/backend.rs
+++ b/components/testkit/src/backend.rs
@@ -50,6 +50,8 @@
     pub began_at: Instant,
     /// The `traceparent` header.
     pub traceparent: Box<str>,
+    /// Whether it has the `x-chunked` header, by which tests ask for a chunked answer.
+    pub wants_chunks: bool,
 }
 
 /// A backend server on a loopback port.
@@ -171,8 +173,13 @@
         if !time.is_zero() {
             sleep(time).await;
         }
-        let body = format!("{} {} {}", self.name, served.tag, served.body.len());
-        Some(self.respond(StatusCode::OK, body.into()))
+        let body = Bytes::from(format!("{} {} {}", self.name, served.tag, served.body.len()));
+        let mut response = self.respond(StatusCode::OK, body.clone());
+        if served.wants_chunks {
+            let frames = futures_util::stream::iter([Ok(Frame::data(body))]);
+            *response.body_mut() = StreamBody::new(frames).boxed_unsync();
+        }
+        Some(response)
     }
 
     /// Records that a request began to run.
@@ -188,6 +195,7 @@
             body,
             began_at: Instant::now(),
             traceparent: text("traceparent"),
+            wants_chunks: head.headers.contains_key("x-chunked"),
         };
         self.served.lock().expect("record lock is never poisoned").push(served.clone());
         Some(served)
--- a/components/testkit/src/caller.rs
+++ b/components/testkit/src/caller.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// A request to send.
@@ -105,28 +106,59 @@
     }
 }
 
+/// A connection that carries one request after the other.
+pub struct KeptCaller {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for KeptCaller {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl KeptCaller {
+    /// Opens a connection.
+    pub async fn connect(address: SocketAddr) -> Result<Self, CallFault> {
+        let stream = TcpStream::connect(address).await.map_err(|_| CallFault::Refused)?;
+        stream.set_nodelay(true).map_err(|_| CallFault::Refused)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|_| CallFault::Refused)?;
+        let task = tokio::spawn(async move {
+            // Its errors reach the caller through the sender.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, task })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&mut self, request: &CallRequest) -> Result<CallAnswer, CallFault> {
+        match timeout(request.patience, self.exchange(request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(CallFault::TooLate),
+        }
+    }
+
+    async fn exchange(&mut self, request: &CallRequest) -> Result<CallAnswer, CallFault> {
+        let mut built = Request::builder().method(request.method.clone()).uri(&*request.path);
+        for (name, value) in &request.headers {
+            built = built.header(&**name, &**value);
+        }
+        let built = built.body(Full::new(request.body.clone())).expect("tests send valid requests");
+        self.sender.ready().await.map_err(|_| CallFault::BrokeBefore)?;
+        let answer = self.sender.send_request(built).await.map_err(|_| CallFault::BrokeBefore)?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|_| CallFault::Truncated)?.to_bytes();
+        Ok(CallAnswer { status: head.status.as_u16(), headers: head.headers, body })
+    }
+}
+
 /// Sends a request on a new connection and reads the whole answer.
 pub async fn call(request: &CallRequest) -> Result<CallAnswer, CallFault> {
-    match timeout(request.patience, exchange(request)).await {
+    let exchange = async { KeptCaller::connect(request.address).await?.send(request).await };
+    match timeout(request.patience, exchange).await {
         Ok(answer) => answer,
         Err(_) => Err(CallFault::TooLate),
     }
 }
-
-async fn exchange(request: &CallRequest) -> Result<CallAnswer, CallFault> {
-    let stream = TcpStream::connect(request.address).await.map_err(|_| CallFault::Refused)?;
-    stream.set_nodelay(true).map_err(|_| CallFault::Refused)?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| CallFault::Refused)?;
-    let task = tokio::spawn(connection);
-    let mut built = Request::builder().method(request.method.clone()).uri(&*request.path);
-    for (name, value) in &request.headers {
-        built = built.header(&**name, &**value);
-    }
-    let built = built.body(Full::new(request.body.clone())).expect("tests send valid requests");
-    let answer = sender.send_request(built).await.map_err(|_| CallFault::BrokeBefore)?;
-    let (head, body) = answer.into_parts();
-    let body = body.collect().await.map_err(|_| CallFault::Truncated)?.to_bytes();
-    task.abort();
-    Ok(CallAnswer { status: head.status.as_u16(), headers: head.headers, body })
-}
--- a/components/testkit/src/fleet.rs
+++ b/components/testkit/src/fleet.rs
@@ -178,11 +178,25 @@
         }
     }
 
+    /// The same as `put_account`, with limits that no measurement reaches.
+    pub async fn put_unlimited(&self, account: &str, service: &TestService, spec: &Value) {
+        let host = format!("{account}.test");
+        let mut record = account_record(account, &[&host]);
+        record["spec"]["limits"] = json!({ "in_flight": 100_000, "requests_per_s": 1_000_000 });
+        self.put_with(&record, service, spec).await;
+    }
+
     /// Puts an account with one service and a policy that routes its host there.
     pub async fn put_account(&self, account: &str, service: &TestService, spec: &Value) {
+        let host = format!("{account}.test");
+        self.put_with(&account_record(account, &[&host]), service, spec).await;
+    }
+
+    async fn put_with(&self, account_record: &Value, service: &TestService, spec: &Value) {
+        let account = account_record["account"].as_str().expect("records name their account");
         let group = service.entries[0].group.as_str();
         let host = format!("{account}.test");
-        self.put(&account_record(account, &[&host])).await;
+        self.put(account_record).await;
         self.put(&service_record(account, group, spec)).await;
         let rules = json!([{ "host": host, "path_prefix": "/", "service": group }]);
         let revision = self.put(&policy_record(account, "front", &rules)).await;
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -11,7 +11,7 @@
 mod web;
 
 pub use backend::{BackendBehaviour, BackendStandIn, ServedRequest};
-pub use caller::{CallAnswer, CallFault, CallRequest, call};
+pub use caller::{CallAnswer, CallFault, CallRequest, KeptCaller, call};
 pub use collector::CollectorStandIn;
 pub use daemons::{DaemonProcess, free_port};
 pub use fleet::{FLEET_KEY, TestFleet, TestService, account_record, policy_record, service_record};
--- a/tests/holds_at_most_once.rs
+++ b/tests/holds_at_most_once.rs
@@ -57,6 +57,18 @@
     assert_eq!(service.runs_of("other"), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_at_most_once_chunked_answer_is_replayed_whole() {
+    let (fleet, service) = setup(2, 2, &json!({})).await;
+    let request = order(&fleet, 0, "key", "first").with("x-chunked", "1");
+    let first = call(&request).await.expect("answered");
+    assert_eq!(first.header("transfer-encoding"), "");
+    let repeat = call(&order(&fleet, 1, "key", "repeat")).await.expect("answered");
+    assert_eq!(repeat.header("mustardrail-replayed"), "whole");
+    assert_eq!((repeat.status, repeat.text()), (200, first.text()));
+    assert_eq!((service.runs_of("first"), service.runs_of("repeat")), (1, 0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn holds_at_most_once_kill_after_dispatch_is_unknown_elsewhere() {
     let (mut fleet, service) = slow_setup(3, Duration::from_secs(3)).await;
