--- a/components/balance/benches/pick.rs
+++ b/components/balance/benches/pick.rs
@@ -29,7 +29,7 @@
                     zone: "zone-a".parse().expect("a valid name"),
                 },
                 is_leaving: false,
-                is_home: number % 3 == 0,
+                is_preferred: number % 3 == 0,
             })
             .collect();
         group.set_servers(&listed, now);
--- a/components/balance/src/group.rs
+++ b/components/balance/src/group.rs
@@ -86,13 +86,13 @@
             .drain(..)
             .map(|(serial, server)| (server.place.id.clone(), (serial, server)))
             .collect();
-        for ListedServer { place, is_leaving, is_home } in listed {
+        for ListedServer { place, is_leaving, is_preferred } in listed {
             let same = known.remove(&place.id).filter(|(_, server)| server.place == *place);
             let (serial, mut server) =
                 same.unwrap_or_else(|| (self.next_serial, self.add(place, is_first_list, now)));
             self.next_serial = self.next_serial.max(serial + 1);
             server.listed_leaving = *is_leaving;
-            server.is_home = *is_home;
+            server.is_preferred = *is_preferred;
             self.servers.push((serial, server));
         }
         self.refresh_view(now);
@@ -180,7 +180,7 @@
     }
 
     /// Notes that a request has had no answer for `elapsed`: the server is at least that slow.
-    pub fn suspect(&mut self, ticket: ServerTicket, elapsed: Duration, now: Instant) {
+    pub fn report_slow(&mut self, ticket: ServerTicket, elapsed: Duration, now: Instant) {
         if let Some(server) = self.find(ticket) {
             let seconds = elapsed.as_secs_f64();
             if seconds > server.service_seconds {
@@ -337,7 +337,7 @@
     fn way_seconds(&self, server: &BackendServer) -> f64 {
         let is_near = server.place.zone == self.spec.zone;
         let far = if is_near { 0.0 } else { self.options.zone_cost.as_secs_f64() };
-        let away = if server.is_home { 0.0 } else { self.options.away_cost };
+        let away = if server.is_preferred { 0.0 } else { self.options.detour_cost };
         far + away * self.view.median_service
     }
 
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -14,7 +14,7 @@
 pub use custom::{CandidateView, CustomChoice};
 pub use group::ServerGroup;
 pub use server::{LoadReport, ServerAddress};
-pub use subset::{choose_home, choose_subset};
+pub use subset::{choose_preferred, choose_subset};
 pub use types::{
     BalanceOptions, GroupSpec, ListedServer, PickOutcome, ProbeOutcome, ProbeTarget, RequestSample,
     SampleOutcome, ServerTicket,
--- a/components/balance/src/server.rs
+++ b/components/balance/src/server.rs
@@ -52,7 +52,7 @@
     /// Whether the list says that it is leaving.
     pub(crate) listed_leaving: bool,
     /// Whether this entry VM uses it first.
-    pub(crate) is_home: bool,
+    pub(crate) is_preferred: bool,
 }
 
 impl BackendServer {
@@ -70,7 +70,7 @@
             joined_at: now,
             leaving_until: None,
             listed_leaving: false,
-            is_home: true,
+            is_preferred: true,
         }
     }
 
--- a/components/balance/src/subset.rs
+++ b/components/balance/src/subset.rs
@@ -31,27 +31,27 @@
     SipHasher13::new_with_keys(RANK_SEED, u64::from(slot)).hash(server.as_str().as_bytes())
 }
 
-/// The home servers of one of `members` entry VMs, by position in `servers`.
+/// The preferred servers of one of `members` entry VMs, by position in `servers`.
 ///
 /// The servers stand on a ring in the order of their hashes, and each entry VM takes a stretch of
-/// it, so that every server is the home server of about `members_per_server` entry VMs.
-pub fn choose_home(
+/// it, so that every server is the preferred server of about `members_per_server` entry VMs.
+pub fn choose_preferred(
     servers: &[ServerId],
     rank: usize,
     members: usize,
     members_per_server: usize,
 ) -> Vec<bool> {
     let count = servers.len();
-    let mut is_home = vec![members <= members_per_server; count];
+    let mut is_preferred = vec![members <= members_per_server; count];
     if count == 0 || members <= members_per_server {
-        return is_home;
+        return is_preferred;
     }
     let mut ring: Vec<usize> = (0..count).collect();
     ring.sort_by_key(|index| rank_of(&servers[*index], 0));
     let length = (count * members_per_server).div_ceil(members).max(1);
     let start = rank * count / members;
     for offset in 0..length.min(count) {
-        is_home[ring[(start + offset) % count]] = true;
+        is_preferred[ring[(start + offset) % count]] = true;
     }
-    is_home
+    is_preferred
 }
--- a/components/balance/src/types.rs
+++ b/components/balance/src/types.rs
@@ -30,8 +30,8 @@
     /// Largest relative error that is added to each estimate, so that entry VMs with the same
     /// reports do not all choose the same server.
     pub noise: f64,
-    /// Cost, in service times, of a server that is not one of this entry VM's home servers.
-    pub away_cost: f64,
+    /// Cost, in service times, of a server that is not one of this entry VM's preferred servers.
+    pub detour_cost: f64,
 }
 
 impl Default for BalanceOptions {
@@ -40,7 +40,7 @@
             zone_cost: Duration::from_millis(1),
             slow_start: Duration::from_secs(10),
             noise: 0.1,
-            away_cost: 0.1,
+            detour_cost: 0.1,
         }
     }
 }
@@ -54,7 +54,7 @@
     pub is_leaving: bool,
     /// Whether it is one of the few servers that this entry VM uses first. An entry VM that sends
     /// much to few servers knows their load better than one that sends a little to all.
-    pub is_home: bool,
+    pub is_preferred: bool,
 }
 
 /// Names a server of a group. A ticket of a server that has gone does no harm.
--- a/components/balance/tests/groups.rs
+++ b/components/balance/tests/groups.rs
@@ -4,13 +4,13 @@
 
 use balance::{
     BalanceOptions, GroupSpec, ListedServer, LoadReport, PickOutcome, ProbeOutcome, RequestSample,
-    SampleOutcome, ServerAddress, ServerGroup, ServerTicket, choose_home, choose_subset,
+    SampleOutcome, ServerAddress, ServerGroup, ServerTicket, choose_preferred, choose_subset,
 };
 use model::ServerId;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use testkit::history_config;
 use tokio::time::Instant;
 
 const SERVERS: usize = 6;
@@ -51,7 +51,7 @@
                 zone: "zone-a".parse().expect("the name is valid"),
             },
             is_leaving: false,
-            is_home: number % 2 == 0,
+            is_preferred: number % 2 == 0,
         })
         .collect()
 }
@@ -76,12 +76,7 @@
 ];
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(history_config(300))]
 
     #[test]
     fn holds_drain_leaving_server_is_never_chosen(steps in prop::collection::vec(step(), 1..250)) {
@@ -173,14 +168,14 @@
     }
 
     #[test]
-    fn home_servers_are_spread_evenly(servers in 1_usize..60, members in 1_usize..60) {
+    fn preferred_servers_are_spread_evenly(servers in 1_usize..60, members in 1_usize..60) {
         let ids: Vec<ServerId> = (0..servers).map(id).collect();
         let mut users = vec![0_usize; servers];
         for rank in 0..members {
-            let home = choose_home(&ids, rank, members, 3);
-            prop_assert!(home.iter().any(|is_home| *is_home));
-            for (index, is_home) in home.into_iter().enumerate() {
-                users[index] += usize::from(is_home);
+            let home = choose_preferred(&ids, rank, members, 3);
+            prop_assert!(home.iter().any(|is_preferred| *is_preferred));
+            for (index, is_preferred) in home.into_iter().enumerate() {
+                users[index] += usize::from(is_preferred);
             }
         }
         let (least, most) = (users.iter().min(), users.iter().max());
--- a/components/board/src/blackboard.rs
+++ b/components/board/src/blackboard.rs
@@ -14,9 +14,9 @@
 
 use crate::clock::SharedInstant;
 
-/// Signs of leaving that may wait for a slow reader; older ones are lost, and the platform's list
+/// Notices of leaving that may wait for a slow reader; older ones are lost, and the platform's list
 /// brings them later.
-const SIGN_QUEUE: usize = 256;
+const NOTICE_QUEUE: usize = 256;
 
 /// The configuration in force.
 #[derive(Debug, Default)]
@@ -45,9 +45,9 @@
     }
 }
 
-/// A sign that a backend server is leaving.
+/// A notice that a backend server is leaving.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeavingSign {
+pub struct DrainNotice {
     /// The backend server.
     pub server: ServerId,
     /// Whether this entry VM saw it itself; only then it is told to peers.
@@ -60,7 +60,7 @@
     config: ArcSwap<ActiveConfig>,
     fleet: ArcSwap<FleetView>,
     servers: watch::Sender<Arc<Vec<ServerEntry>>>,
-    signs: broadcast::Sender<LeavingSign>,
+    notices: broadcast::Sender<DrainNotice>,
     /// Until when the configuration in force may be served.
     serve_until: SharedInstant,
     /// Whether this entry VM has begun to shut down.
@@ -74,7 +74,7 @@
             config: ArcSwap::default(),
             fleet: ArcSwap::from_pointee(FleetView { slots, ..FleetView::default() }),
             servers: watch::Sender::new(Arc::default()),
-            signs: broadcast::Sender::new(SIGN_QUEUE),
+            notices: broadcast::Sender::new(NOTICE_QUEUE),
             serve_until: SharedInstant::new(now),
             draining: AtomicBool::new(false),
         }
@@ -125,15 +125,15 @@
         });
     }
 
-    /// Follows signs that backend servers leave.
-    pub fn watch_signs(&self) -> broadcast::Receiver<LeavingSign> {
-        self.signs.subscribe()
+    /// Follows notices that backend servers leave.
+    pub fn watch_notices(&self) -> broadcast::Receiver<DrainNotice> {
+        self.notices.subscribe()
     }
 
-    /// Tells of a sign that a backend server leaves.
-    pub fn tell_sign(&self, sign: LeavingSign) {
+    /// Passes on that a backend server leaves.
+    pub fn send_notice(&self, notice: DrainNotice) {
         // Without a reader there is nobody to tell.
-        let _ = self.signs.send(sign);
+        let _ = self.notices.send(notice);
     }
 
     /// Sets until when the configuration in force may be served.
--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -6,5 +6,5 @@
 mod blackboard;
 mod clock;
 
-pub use blackboard::{ActiveConfig, Blackboard, FleetView, LeavingSign};
+pub use blackboard::{ActiveConfig, Blackboard, DrainNotice, FleetView};
 pub use clock::SharedInstant;
--- a/components/claims/src/book.rs
+++ b/components/claims/src/batcher.rs
@@ -104,7 +104,7 @@
 
 /// Claim writes that wait, and the transaction under way. `T` identifies a write to the caller.
 #[derive(Debug)]
-pub struct ClaimBook<T> {
+pub struct ClaimBatcher<T> {
     waiting: FairQueue<Waiting<T>>,
     /// Invariant: holds no two writes to the same row. Empty when no transaction is under way.
     under_way: Vec<(AccountId, Waiting<T>)>,
@@ -123,7 +123,7 @@
     was_sent: bool,
 }
 
-impl<T> ClaimBook<T> {
+impl<T> ClaimBatcher<T> {
     /// An empty book that sends at most `commits_per_s` transactions a second.
     pub fn new(commits_per_s: f64, now: Instant) -> Self {
         Self {
--- a/components/claims/src/row.rs
+++ b/components/claims/src/row.rs
@@ -89,7 +89,7 @@
 
 /// What a claim row means for a request that did not get the claim.
 #[derive(Debug, Clone, PartialEq)]
-pub enum RowVerdict {
+pub enum RowStatus {
     /// The request's own attempt holds the claim, at this row version.
     Own(u64),
     /// Another attempt ran it, with this answer.
@@ -101,21 +101,21 @@
 }
 
 /// What an existing row means for a request.
-pub fn judge_row(
+pub fn classify_row(
     version: u64,
     row: ClaimRow,
     attempt: &AttemptId,
     fingerprint: &RequestFingerprint,
-) -> RowVerdict {
+) -> RowStatus {
     if row.attempt == *attempt {
-        return RowVerdict::Own(version);
+        return RowStatus::Own(version);
     }
     if row.fingerprint != *fingerprint {
-        return RowVerdict::Mismatch;
+        return RowStatus::Mismatch;
     }
     match row.state {
-        ClaimState::Done(answer) => RowVerdict::Replay(answer),
-        ClaimState::Running => RowVerdict::Running(row.vm),
+        ClaimState::Done(answer) => RowStatus::Replay(answer),
+        ClaimState::Running => RowStatus::Running(row.vm),
     }
 }
 
--- a/components/claims/tests/claims.rs
+++ b/components/claims/tests/claims.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use claims::{
-    BatchStep, ClaimBook, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
-    RequestFingerprint, RowVerdict, WorkOutcome, judge_row, read_claim,
+    BatchStep, ClaimBatcher, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
+    RequestFingerprint, RowStatus, WorkOutcome, classify_row, read_claim,
 };
 use model::{AttemptId, FastMap, VmId};
 use platform::{CommitOutcome, CommitRequest, MemoryTable, StoreError};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use testkit::history_config;
 use tokio::time::Instant;
 
 const VMS: usize = 3;
@@ -44,7 +44,7 @@
 
 struct World {
     table: MemoryTable,
-    books: Vec<ClaimBook<Ask>>,
+    books: Vec<ClaimBatcher<Ask>>,
     delayed: Vec<Option<CommitRequest>>,
     now: Instant,
     /// How many attempts of each key believe that they hold its claim.
@@ -56,7 +56,7 @@
         let now = Instant::now();
         Self {
             table: MemoryTable::new(),
-            books: (0..VMS).map(|_| ClaimBook::new(50.0, now)).collect(),
+            books: (0..VMS).map(|_| ClaimBatcher::new(50.0, now)).collect(),
             delayed: vec![None; VMS],
             now,
             held: FastMap::default(),
@@ -133,8 +133,8 @@
         let Some(claim) = read_claim(&found) else {
             return false;
         };
-        let verdict = judge_row(found.version, claim, &row.attempt, &row.fingerprint);
-        matches!(verdict, RowVerdict::Own(_))
+        let verdict = classify_row(found.version, claim, &row.attempt, &row.fingerprint);
+        matches!(verdict, RowStatus::Own(_))
     }
 }
 
@@ -156,12 +156,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(history_config(500))]
 
     #[test]
     fn holds_at_most_once_claim_has_one_holder(steps in prop::collection::vec(step(), 1..150)) {
--- a/components/daemon/src/control/config.rs
+++ b/components/daemon/src/control/config.rs
@@ -7,8 +7,8 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::Instant;
 
-use board::{ActiveConfig, Blackboard, LeavingSign};
-use members::{FreshnessJudge, PeerReport, ServingState};
+use board::{ActiveConfig, Blackboard, DrainNotice};
+use members::{FreshnessTracker, PeerReport, ServingState};
 use model::{FastMap, RevisionNumber, VmId, jittered};
 use observe::{DaemonMetrics, Logger, error, info, warn};
 use peers::{PeerEcho, PeerEvent, PeerMessage, PeerOutbox};
@@ -17,7 +17,7 @@
 
 use crate::control::catch_up::{CatchUpNews, catch_up};
 use crate::control::peering::listed_entry_vms;
-use crate::control::spread::SpreadView;
+use crate::control::propagation::PropagationView;
 
 /// Time for which a confirmation of the configuration is good.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(8);
@@ -26,7 +26,7 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Time between two decisions whether the configuration may be served.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
+const EVALUATE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Changes kept in memory for peers that fetch them.
 const KEPT_CHANGES: usize = 512;
@@ -39,13 +39,13 @@
     /// A read of the table that began then has ended.
     Polled(Instant, Result<CatchUpNews, StoreError>),
     /// Time to decide whether the configuration may be served.
-    Judge,
+    Evaluate,
     /// Something happened on a peer connection.
     Peer(PeerEvent),
     /// This entry VM had a write accepted by the table.
     Accepted(ChangeEntry),
     /// A backend server is leaving.
-    Sign(LeavingSign),
+    Drain(DrainNotice),
 }
 
 /// What the controller works with.
@@ -53,7 +53,7 @@
     pub(crate) table: TableClient,
     pub(crate) board: Arc<Blackboard>,
     pub(crate) metrics: DaemonMetrics,
-    pub(crate) spread: SpreadView,
+    pub(crate) propagation: PropagationView,
     /// Zero of the stamps in heartbeats.
     pub(crate) stamp_base: Instant,
     pub(crate) log: Logger,
@@ -68,7 +68,7 @@
     snapshot: ConfigSnapshot,
     /// The newest changes. Invariant: without gaps, and the last one is the snapshot's revision.
     recent: VecDeque<ChangeEntry>,
-    judge: FreshnessJudge,
+    tracker: FreshnessTracker,
     outboxes: FastMap<VmId, PeerOutbox>,
     is_polling: bool,
     was_serving: bool,
@@ -86,13 +86,13 @@
         myself: ActorRef<ConfigMessage>,
         arguments: ConfigArguments,
     ) -> Result<ConfigState, ActorProcessingErr> {
-        myself.send_interval(JUDGE_INTERVAL, || ConfigMessage::Judge);
+        myself.send_interval(EVALUATE_INTERVAL, || ConfigMessage::Evaluate);
         myself.cast(ConfigMessage::Poll)?;
         Ok(ConfigState {
             arguments,
             snapshot: ConfigSnapshot::default(),
             recent: VecDeque::new(),
-            judge: FreshnessJudge::new(CONFIRMATION_TIME),
+            tracker: FreshnessTracker::new(CONFIRMATION_TIME),
             outboxes: FastMap::default(),
             is_polling: false,
             was_serving: false,
@@ -109,10 +109,10 @@
         match message {
             ConfigMessage::Poll => state.poll(&myself),
             ConfigMessage::Polled(begun_at, news) => state.take_news(begun_at, news),
-            ConfigMessage::Judge => state.judge_serving(),
+            ConfigMessage::Evaluate => state.update_serving(),
             ConfigMessage::Peer(event) => state.take_event(&myself, event),
             ConfigMessage::Accepted(entry) => state.take_accepted(&myself, entry),
-            ConfigMessage::Sign(sign) => state.tell_peers(&PeerMessage::Leaving(sign.server)),
+            ConfigMessage::Drain(notice) => state.tell_peers(&PeerMessage::Leaving(notice.server)),
         }
         Ok(())
     }
@@ -156,9 +156,9 @@
             self.put_in_force();
         }
         if self.snapshot.revision() >= newest {
-            self.judge.confirm(begun_at);
+            self.tracker.confirm(begun_at);
         }
-        self.judge_serving();
+        self.update_serving();
     }
 
     fn take_accepted(&mut self, myself: &ActorRef<ConfigMessage>, entry: ChangeEntry) {
@@ -219,13 +219,13 @@
             }
             PeerMessage::Records(..) => {}
             PeerMessage::Leaving(server) => {
-                self.arguments.board.tell_sign(LeavingSign { server, is_own: false });
+                self.arguments.board.send_notice(DrainNotice { server, is_own: false });
             }
         }
     }
 
     fn take_echo(&mut self, vm: &VmId, echo: &PeerEcho) {
-        self.arguments.spread.hear(vm, echo.revision);
+        self.arguments.propagation.hear(vm, echo.revision);
         let Some(stamp_us) = echo.stamp_us else {
             return;
         };
@@ -233,11 +233,12 @@
         let confirmed_at =
             echo.table_age_ms.and_then(|age| heard_at.checked_sub(Duration::from_millis(age)));
         let report = PeerReport { heard_at, confirmed_at, revision: echo.revision };
-        self.judge.hear(vm.clone(), report);
+        self.tracker.record_report(vm.clone(), report);
     }
 
     fn echo(&self, stamp_us: Option<u64>) -> PeerEcho {
-        let table_age_ms = self.judge.own_confirmed_at().map(|at| at.elapsed().as_millis() as u64);
+        let table_age_ms =
+            self.tracker.own_confirmed_at().map(|at| at.elapsed().as_millis() as u64);
         PeerEcho { revision: self.snapshot.revision(), table_age_ms, stamp_us }
     }
 
@@ -302,12 +303,12 @@
         }
     }
 
-    fn judge_serving(&mut self) {
+    fn update_serving(&mut self) {
         let board = &self.arguments.board;
         let fleet = board.fleet();
         let is_known = |vm: &VmId| fleet.is_member(vm) || self.outboxes.contains_key(vm);
-        self.judge.retain(is_known);
-        self.arguments.spread.retain(is_known);
+        self.tracker.retain(is_known);
+        self.arguments.propagation.retain(is_known);
         let members = match fleet.members.len() {
             0 => listed_entry_vms(board).len(),
             count => count,
@@ -315,7 +316,7 @@
         let now = Instant::now();
         let state = match self.is_unreadable {
             true => ServingState::Stale,
-            false => self.judge.judge(now, self.snapshot.revision(), members),
+            false => self.tracker.evaluate(now, self.snapshot.revision(), members),
         };
         match state {
             ServingState::Fresh(until) | ServingState::Outage(until) => {
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -6,13 +6,13 @@
 mod listing;
 mod peering;
 mod probing;
-mod spread;
+mod propagation;
 mod start;
 mod sweeping;
 mod thread;
 
 pub(crate) use catch_up::catch_up;
 pub(crate) use config::ConfigMessage;
-pub(crate) use spread::SpreadView;
+pub(crate) use propagation::PropagationView;
 pub(crate) use start::ControlThread;
 pub(crate) use thread::control_cpu_seconds;
--- a/components/daemon/src/control/spread.rs
+++ b/components/daemon/src/control/propagation.rs
@@ -9,22 +9,22 @@
 use model::{FastMap, RevisionNumber, VmId};
 
 /// Longest time that an operator's write waits to be in force everywhere before it is answered.
-const SPREAD_TIME: Duration = Duration::from_secs(2);
+const PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
 /// Revisions that peers said are in force.
 #[derive(Debug, Clone)]
-pub(crate) struct SpreadView {
+pub(crate) struct PropagationView {
     revisions: watch::Sender<FastMap<VmId, RevisionNumber>>,
 }
 
 /// At how many members a revision is in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct SpreadCount {
+pub(crate) struct PropagationCount {
     pub(crate) in_force: usize,
     pub(crate) members: usize,
 }
 
-impl SpreadView {
+impl PropagationView {
     /// A view in which nothing was heard yet.
     pub(crate) fn new() -> Self {
         Self { revisions: watch::Sender::new(FastMap::default()) }
@@ -55,14 +55,14 @@
         board: &Blackboard,
         own: &VmId,
         revision: RevisionNumber,
-    ) -> SpreadCount {
+    ) -> PropagationCount {
         let mut heard = self.revisions.subscribe();
         let all = heard.wait_for(|known| {
             let count = count(board, own, known, revision);
             count.in_force >= count.members
         });
         // Members that did not answer in time are counted as they are.
-        let _ = timeout(SPREAD_TIME, all).await;
+        let _ = timeout(PROPAGATION_TIME, all).await;
         count(board, own, &self.revisions.borrow(), revision)
     }
 }
@@ -72,10 +72,10 @@
     own: &VmId,
     known: &FastMap<VmId, RevisionNumber>,
     revision: RevisionNumber,
-) -> SpreadCount {
+) -> PropagationCount {
     let fleet = board.fleet();
     let others = fleet.members.iter().filter(|member| member.row.vm != *own);
-    let mut total = SpreadCount { in_force: 1, members: 1 };
+    let mut total = PropagationCount { in_force: 1, members: 1 };
     for member in others {
         total.members += 1;
         if known.get(&member.row.vm).is_some_and(|known| *known >= revision) {
--- a/components/daemon/src/control/start.rs
+++ b/components/daemon/src/control/start.rs
@@ -19,10 +19,10 @@
 use crate::control::listing::follow_list;
 use crate::control::peering::{PeeringArguments, run_peering};
 use crate::control::probing::{ProbeArguments, run_probes};
-use crate::control::spread::SpreadView;
+use crate::control::propagation::PropagationView;
 use crate::control::sweeping::sweep_claims;
 use crate::control::thread::control_cpu_seconds;
-use crate::operators::{OperatorDesk, serve_operators};
+use crate::operators::{OperatorApi, serve_operators};
 use crate::run::{DaemonFault, SharedParts, listen, start_fault};
 
 /// Events of peer connections that may wait for the configuration controller.
@@ -91,9 +91,9 @@
             return;
         }
     };
-    let spread = config.spread.clone();
+    let propagation = config.propagation.clone();
     spawn_peers(&mut tasks, &shared, &config, peers);
-    spawn_signs(&mut tasks, &shared, config.actor.clone());
+    spawn_notices(&mut tasks, &shared, config.actor.clone());
     tasks.spawn(follow_list(
         shared.clients.list.clone(),
         Arc::clone(&shared.board),
@@ -112,18 +112,18 @@
         shared.metrics.clone(),
         shared.log.clone(),
     ));
-    let desk = Arc::new(OperatorDesk {
+    let api = Arc::new(OperatorApi {
         vm: shared.settings.vm.clone(),
         table: shared.clients.table.clone(),
         list: shared.clients.list.clone(),
         board: Arc::clone(&shared.board),
         config: config.actor.clone(),
-        spread,
+        propagation,
         metrics: shared.metrics.clone(),
         first_key_sha256: shared.settings.first_key_sha256.to_ascii_lowercase().into(),
         log: shared.log.clone(),
     });
-    tasks.spawn(serve_operators(operators, desk));
+    tasks.spawn(serve_operators(operators, api));
     tokio::select! {
         _ = stopped => {}
         _ = tasks.join_next() => {
@@ -141,7 +141,7 @@
 /// The configuration controller and what others need to work with it.
 struct ConfigHandle {
     actor: ActorRef<ConfigMessage>,
-    spread: SpreadView,
+    propagation: PropagationView,
     stamp_base: Instant,
 }
 
@@ -149,13 +149,13 @@
     shared: &SharedParts,
 ) -> Result<(ConfigHandle, ActorRef<FleetMessage>), ractor::SpawnErr> {
     let settings = &shared.settings;
-    let spread = SpreadView::new();
+    let propagation = PropagationView::new();
     let stamp_base = Instant::now();
     let arguments = ConfigArguments {
         table: shared.clients.table.clone(),
         board: Arc::clone(&shared.board),
         metrics: shared.metrics.clone(),
-        spread: spread.clone(),
+        propagation: propagation.clone(),
         stamp_base,
         log: shared.log.clone(),
     };
@@ -170,7 +170,7 @@
         log: shared.log.clone(),
     };
     let (fleet, _) = Actor::spawn(None, FleetController, arguments).await?;
-    Ok((ConfigHandle { actor: config, spread, stamp_base }, fleet))
+    Ok((ConfigHandle { actor: config, propagation, stamp_base }, fleet))
 }
 
 fn spawn_peers(
@@ -209,13 +209,13 @@
 }
 
 /// Tells peers of the signs of leaving that this VM saw itself.
-fn spawn_signs(tasks: &mut JoinSet<()>, shared: &SharedParts, actor: ActorRef<ConfigMessage>) {
-    let mut signs = shared.board.watch_signs();
+fn spawn_notices(tasks: &mut JoinSet<()>, shared: &SharedParts, actor: ActorRef<ConfigMessage>) {
+    let mut notices = shared.board.watch_notices();
     tasks.spawn(async move {
         loop {
-            match signs.recv().await {
-                Ok(sign) if sign.is_own => {
-                    if actor.cast(ConfigMessage::Sign(sign)).is_err() {
+            match notices.recv().await {
+                Ok(notice) if notice.is_own => {
+                    if actor.cast(ConfigMessage::Drain(notice)).is_err() {
                         return;
                     }
                 }
--- a/components/daemon/src/operators/accept.rs
+++ b/components/daemon/src/operators/accept.rs
@@ -16,7 +16,7 @@
     operation_key, plan_write, read_operation,
 };
 
-use crate::control::{ConfigMessage, SpreadView, catch_up};
+use crate::control::{ConfigMessage, PropagationView, catch_up};
 
 /// Longest time that a write is tried before its end is reported as unknown.
 const ACCEPT_TIME: Duration = Duration::from_secs(8);
@@ -26,7 +26,7 @@
 
 /// How a write ended.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum WriteEnd {
+pub(crate) enum WriteOutcome {
     /// It is accepted, and in force at this many of so many members.
     Accepted { revision: RevisionNumber, in_force: usize, members: usize },
     /// It is refused, and nothing was written.
@@ -38,13 +38,13 @@
 }
 
 /// What operators' requests work with.
-pub(crate) struct OperatorDesk {
+pub(crate) struct OperatorApi {
     pub(crate) vm: VmId,
     pub(crate) table: TableClient,
     pub(crate) list: ListClient,
     pub(crate) board: Arc<Blackboard>,
     pub(crate) config: ActorRef<ConfigMessage>,
-    pub(crate) spread: SpreadView,
+    pub(crate) propagation: PropagationView,
     pub(crate) metrics: DaemonMetrics,
     pub(crate) first_key_sha256: Box<str>,
     pub(crate) log: Logger,
@@ -59,9 +59,9 @@
     deadline: Instant,
 }
 
-impl OperatorDesk {
+impl OperatorApi {
     /// Tries a write until it is accepted or refused, or time runs out.
-    pub(crate) async fn write(&self, request: &WriteRequest, actor: &AccountId) -> WriteEnd {
+    pub(crate) async fn write(&self, request: &WriteRequest, actor: &AccountId) -> WriteOutcome {
         let mut state = WriteState {
             snapshot: self.board.config().snapshot.clone(),
             unsure_base: None,
@@ -72,14 +72,14 @@
             match self.try_write(request, actor, &mut state).await {
                 Ok(Some(end)) => return self.finish(end).await,
                 Ok(None) => {}
-                Err(error) if state.unsure_base.is_none() => return WriteEnd::NotSent(error),
+                Err(error) if state.unsure_base.is_none() => return WriteOutcome::NotSent(error),
                 Err(error) => last_error = Some(error),
             }
             sleep(jittered(RETRY_PAUSE)).await;
         }
         match last_error {
-            Some(error) if state.unsure_base.is_none() => WriteEnd::NotSent(error),
-            _ => WriteEnd::Unknown(request.operation.clone()),
+            Some(error) if state.unsure_base.is_none() => WriteOutcome::NotSent(error),
+            _ => WriteOutcome::Unknown(request.operation.clone()),
         }
     }
 
@@ -100,7 +100,7 @@
         request: &WriteRequest,
         actor: &AccountId,
         state: &mut WriteState,
-    ) -> Result<Option<WriteEnd>, StoreError> {
+    ) -> Result<Option<WriteOutcome>, StoreError> {
         self.metrics.table_reads.inc();
         let news = catch_up(&self.table, state.snapshot.revision()).await?;
         let revision_row = news.revision_row;
@@ -114,7 +114,7 @@
         let entry = match admit_write(&state.snapshot, request, actor, &readable) {
             Ok(entry) => entry,
             Err(_) if state.unsure_base == Some(state.snapshot.revision()) => return Ok(None),
-            Err(refusal) => return Ok(Some(WriteEnd::Refused(refusal))),
+            Err(refusal) => return Ok(Some(WriteOutcome::Refused(refusal))),
         };
         self.metrics.table_commits.inc();
         match self.table.commit(&plan_write(&entry, revision_row)).await {
@@ -138,15 +138,15 @@
         let _ = self.config.cast(ConfigMessage::Accepted(entry));
     }
 
-    async fn finish(&self, end: WriteEnd) -> WriteEnd {
-        let WriteEnd::Accepted { revision, .. } = end else {
+    async fn finish(&self, end: WriteOutcome) -> WriteOutcome {
+        let WriteOutcome::Accepted { revision, .. } = end else {
             return end;
         };
-        let count = self.spread.wait(&self.board, &self.vm, revision).await;
-        WriteEnd::Accepted { revision, in_force: count.in_force, members: count.members }
+        let count = self.propagation.wait(&self.board, &self.vm, revision).await;
+        WriteOutcome::Accepted { revision, in_force: count.in_force, members: count.members }
     }
 }
 
-fn accepted(revision: RevisionNumber) -> WriteEnd {
-    WriteEnd::Accepted { revision, in_force: 0, members: 0 }
+fn accepted(revision: RevisionNumber) -> WriteOutcome {
+    WriteOutcome::Accepted { revision, in_force: 0, members: 0 }
 }
--- a/components/daemon/src/operators/api.rs
+++ b/components/daemon/src/operators/api.rs
@@ -15,69 +15,69 @@
 };
 
 use crate::control::control_cpu_seconds;
-use crate::operators::accept::OperatorDesk;
+use crate::operators::accept::OperatorApi;
 use crate::operators::replies::{Reply, json_reply, not_found, problem, text_reply, write_reply};
 
 /// Largest request body in bytes; a record has at most 64 KiB.
 const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// Answers one request.
-pub(crate) async fn answer(desk: &OperatorDesk, request: Request<Incoming>) -> Reply {
+pub(crate) async fn answer(api: &OperatorApi, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
     match (request.method().clone(), path.as_str()) {
         (Method::GET, "/livez") => return text_reply(StatusCode::OK, "live\n".into()),
-        (Method::GET, "/readyz") => return readiness(desk),
-        (Method::GET, "/metrics") => return metrics(desk),
+        (Method::GET, "/readyz") => return readiness(api),
+        (Method::GET, "/metrics") => return metrics(api),
         _ => {}
     }
-    let Some(operator) = identify(desk, &request) else {
+    let Some(operator) = identify(api, &request) else {
         return problem(StatusCode::UNAUTHORIZED, "unauthorized", "a valid operator key is needed");
     };
     match (request.method().clone(), path.strip_prefix("/v1/")) {
-        (Method::GET, Some("status")) => status(desk),
-        (Method::GET, Some("records")) => list(desk, &operator),
-        (Method::POST, Some("records")) => write(desk, &operator, request).await,
+        (Method::GET, Some("status")) => status(api),
+        (Method::GET, Some("records")) => list(api, &operator),
+        (Method::POST, Some("records")) => write(api, &operator, request).await,
         (Method::GET, Some(rest)) => match rest.split_once('/') {
-            Some(("records", key)) => show(desk, &operator, key),
-            Some(("history", key)) => history(desk, &operator, key).await,
-            Some(("operations", operation)) => find_operation(desk, &operator, operation).await,
+            Some(("records", key)) => show(api, &operator, key),
+            Some(("history", key)) => history(api, &operator, key).await,
+            Some(("operations", operation)) => find_operation(api, &operator, operation).await,
             _ => not_found(),
         },
         _ => not_found(),
     }
 }
 
-fn identify(desk: &OperatorDesk, request: &Request<Incoming>) -> Option<OperatorIdentity> {
+fn identify(api: &OperatorApi, request: &Request<Incoming>) -> Option<OperatorIdentity> {
     let key = request.headers().get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
-    if is_first_key(desk, key) {
+    if is_first_key(api, key) {
         let account = "fleet".parse().expect("the fleet account's name is valid");
         return Some(OperatorIdentity { account, scope: KeyScope::Fleet });
     }
-    desk.board.config().routing.find_operator(key)
+    api.board.config().routing.find_operator(key)
 }
 
-fn is_first_key(desk: &OperatorDesk, key: &str) -> bool {
-    records::same_hash(&hash_key(key), &desk.first_key_sha256)
+fn is_first_key(api: &OperatorApi, key: &str) -> bool {
+    records::same_hash(&hash_key(key), &api.first_key_sha256)
 }
 
-fn readiness(desk: &OperatorDesk) -> Reply {
-    let is_ready = desk.board.is_ready(Instant::now());
+fn readiness(api: &OperatorApi) -> Reply {
+    let is_ready = api.board.is_ready(Instant::now());
     let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     text_reply(status, format!("{}\n", if is_ready { "ready" } else { "not ready" }))
 }
 
-fn metrics(desk: &OperatorDesk) -> Reply {
+fn metrics(api: &OperatorApi) -> Reply {
     // This runs on the control thread, so its processor time is up to date in every answer.
     if let Some(seconds) = control_cpu_seconds() {
-        desk.metrics.control_seconds.set(seconds);
+        api.metrics.control_seconds.set(seconds);
     }
-    let platform_bytes = desk.table.bytes() + desk.list.bytes();
-    desk.metrics.platform_bytes.set(platform_bytes as i64);
-    text_reply(StatusCode::OK, desk.metrics.render())
+    let platform_bytes = api.table.bytes() + api.list.bytes();
+    api.metrics.platform_bytes.set(platform_bytes as i64);
+    text_reply(StatusCode::OK, api.metrics.render())
 }
 
-fn status(desk: &OperatorDesk) -> Reply {
-    let fleet = desk.board.fleet();
+fn status(api: &OperatorApi) -> Reply {
+    let fleet = api.board.fleet();
     let members: Vec<Value> = fleet
         .members
         .iter()
@@ -91,17 +91,17 @@
         })
         .collect();
     let body = json!({
-        "vm": desk.vm,
-        "revision": desk.board.revision(),
-        "ready": desk.board.is_ready(Instant::now()),
+        "vm": api.vm,
+        "revision": api.board.revision(),
+        "ready": api.board.is_ready(Instant::now()),
         "slot": fleet.held.map(|held| held.slot),
         "members": members,
     });
     json_reply(StatusCode::OK, &body)
 }
 
-fn list(desk: &OperatorDesk, operator: &OperatorIdentity) -> Reply {
-    let config = desk.board.config();
+fn list(api: &OperatorApi, operator: &OperatorIdentity) -> Reply {
+    let config = api.board.config();
     let records: Vec<Value> = config
         .snapshot
         .records()
@@ -114,22 +114,22 @@
     )
 }
 
-fn show(desk: &OperatorDesk, operator: &OperatorIdentity, key: &str) -> Reply {
+fn show(api: &OperatorApi, operator: &OperatorIdentity, key: &str) -> Reply {
     let Some(key) = visible_key(operator, key) else {
         return not_found();
     };
-    match desk.board.config().snapshot.find(&key) {
+    match api.board.config().snapshot.find(&key) {
         Some(stored) => json_reply(StatusCode::OK, &json!(stored)),
         None => not_found(),
     }
 }
 
-async fn history(desk: &OperatorDesk, operator: &OperatorIdentity, key: &str) -> Reply {
+async fn history(api: &OperatorApi, operator: &OperatorIdentity, key: &str) -> Reply {
     let Some(key) = visible_key(operator, key) else {
         return not_found();
     };
-    desk.metrics.table_reads.inc();
-    match desk.table.scan_all(&history_prefix(&key)).await {
+    api.metrics.table_reads.inc();
+    match api.table.scan_all(&history_prefix(&key)).await {
         Ok(rows) if rows.is_empty() => not_found(),
         Ok(rows) => {
             let changes: Vec<&Value> = rows.iter().map(|row| &row.value).collect();
@@ -139,15 +139,11 @@
     }
 }
 
-async fn find_operation(
-    desk: &OperatorDesk,
-    operator: &OperatorIdentity,
-    operation: &str,
-) -> Reply {
+async fn find_operation(api: &OperatorApi, operator: &OperatorIdentity, operation: &str) -> Reply {
     let Ok(operation) = operation.parse::<OperationId>() else {
         return not_found();
     };
-    match desk.find_operation(&operator.account, &operation).await {
+    match api.find_operation(&operator.account, &operation).await {
         Ok(Some(row)) => json_reply(
             StatusCode::OK,
             &json!({
@@ -162,7 +158,7 @@
 }
 
 async fn write(
-    desk: &OperatorDesk,
+    api: &OperatorApi,
     operator: &OperatorIdentity,
     request: Request<Incoming>,
 ) -> Reply {
@@ -197,7 +193,7 @@
             "this key may not write records of this kind",
         );
     }
-    write_reply(&desk.write(&request, &operator.account).await)
+    write_reply(&api.write(&request, &operator.account).await)
 }
 
 fn visible_key(operator: &OperatorIdentity, text: &str) -> Option<RecordKey> {
--- a/components/daemon/src/operators/listener.rs
+++ b/components/daemon/src/operators/listener.rs
@@ -13,7 +13,7 @@
 
 use observe::warn;
 
-use crate::operators::accept::OperatorDesk;
+use crate::operators::accept::OperatorApi;
 use crate::operators::api::answer;
 
 /// Connections from operators and metrics readers at a time.
@@ -26,7 +26,7 @@
 const CONNECTION_TIME: Duration = Duration::from_secs(300);
 
 /// Serves operators until the task is aborted.
-pub(crate) async fn serve_operators(listener: TcpListener, desk: Arc<OperatorDesk>) {
+pub(crate) async fn serve_operators(listener: TcpListener, api: Arc<OperatorApi>) {
     let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
@@ -35,15 +35,15 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                warn!(desk.log, "operators: accept failed"; "reason" => %error);
+                warn!(api.log, "operators: accept failed"; "reason" => %error);
                 sleep(Duration::from_millis(100)).await;
                 continue;
             }
         };
-        let desk = Arc::clone(&desk);
+        let api = Arc::clone(&api);
         let service = service_fn(move |request| {
-            let desk = Arc::clone(&desk);
-            async move { Ok::<_, Infallible>(answer(&desk, request).await) }
+            let api = Arc::clone(&api);
+            async move { Ok::<_, Infallible>(answer(&api, request).await) }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new()
--- a/components/daemon/src/operators/mod.rs
+++ b/components/daemon/src/operators/mod.rs
@@ -5,5 +5,5 @@
 mod listener;
 mod replies;
 
-pub(crate) use accept::OperatorDesk;
+pub(crate) use accept::OperatorApi;
 pub(crate) use listener::serve_operators;
--- a/components/daemon/src/operators/replies.rs
+++ b/components/daemon/src/operators/replies.rs
@@ -8,7 +8,7 @@
 
 use records::WriteRefusal;
 
-use crate::operators::accept::WriteEnd;
+use crate::operators::accept::WriteOutcome;
 
 /// A whole answer.
 pub(crate) type Reply = Response<Full<Bytes>>;
@@ -40,9 +40,9 @@
 }
 
 /// The answer to a write.
-pub(crate) fn write_reply(end: &WriteEnd) -> Reply {
+pub(crate) fn write_reply(end: &WriteOutcome) -> Reply {
     match end {
-        WriteEnd::Accepted { revision, in_force, members } => json_reply(
+        WriteOutcome::Accepted { revision, in_force, members } => json_reply(
             StatusCode::OK,
             &json!({
                 "outcome": "accepted",
@@ -51,11 +51,11 @@
                 "members": members,
             }),
         ),
-        WriteEnd::Refused(refusal) => refusal_reply(refusal),
-        WriteEnd::NotSent(error) => {
+        WriteOutcome::Refused(refusal) => refusal_reply(refusal),
+        WriteOutcome::NotSent(error) => {
             problem(StatusCode::SERVICE_UNAVAILABLE, "not-written", &error.to_string())
         }
-        WriteEnd::Unknown(operation) => json_reply(
+        WriteOutcome::Unknown(operation) => json_reply(
             StatusCode::GATEWAY_TIMEOUT,
             &json!({
                 "outcome": "unknown",
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -15,7 +15,9 @@
 use board::Blackboard;
 use observe::{DaemonMetrics, Logger, TraceExporter, error, info, start_logs};
 use platform::{ListClient, TableClient};
-use proxy::{CallerListener, ClaimDesk, ListenerLimits, RequestHandler, ServiceTable, run_claims};
+use proxy::{
+    CallerListener, ClaimCoordinator, ListenerLimits, RequestHandler, ServiceTable, run_claims,
+};
 use settings::DaemonSettings;
 
 use crate::control::ControlThread;
@@ -128,7 +130,7 @@
     let mut signals = StopSignals::new().map_err(|error| start_fault("signals", &error))?;
     let settings = Arc::clone(&shared.settings);
     let traces = start_traces(&shared);
-    let desk = Arc::new(ClaimDesk::new(
+    let coordinator = Arc::new(ClaimCoordinator::new(
         settings.vm.clone(),
         shared.clients.claim_table.clone(),
         Arc::clone(&shared.board),
@@ -137,13 +139,13 @@
     let handler = Arc::new(RequestHandler::new(
         Arc::clone(&shared.board),
         Arc::clone(&shared.services),
-        Arc::clone(&desk),
+        Arc::clone(&coordinator),
         shared.metrics.clone(),
         traces.clone(),
         &settings.limits,
     ));
     let mut background = JoinSet::new();
-    background.spawn(run_claims(desk));
+    background.spawn(run_claims(coordinator));
     background.spawn(follow_board(shared.clone()));
     let listener = listen(settings.callers, "callers").await?;
     let limits = ListenerLimits {
@@ -190,7 +192,7 @@
 /// Brings what the control thread learned to the servers of all services.
 async fn follow_board(shared: SharedParts) {
     let mut servers = shared.board.watch_servers();
-    let mut signs = shared.board.watch_signs();
+    let mut notices = shared.board.watch_notices();
     let mut syncs = interval(SYNC_INTERVAL);
     loop {
         tokio::select! {
@@ -201,9 +203,9 @@
                 }
                 shared.services.sync(Instant::now());
             }
-            sign = signs.recv() => {
-                if let Ok(sign) = sign {
-                    shared.services.mark_leaving(&sign.server, Instant::now());
+            notice = notices.recv() => {
+                if let Ok(notice) = notice {
+                    shared.services.mark_leaving(&notice.server, Instant::now());
                 }
             }
         }
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -5,24 +5,15 @@
 use limits::{AdmissionGate, AdmissionOutcome, FairQueue, RetryBudget, TokenBucket};
 use model::{AccountId, AccountLimits, RequestRate};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use testkit::history_config;
 use tokio::time::Instant;
 
 fn account(number: usize) -> AccountId {
     format!("account-{number}").parse().expect("the name is valid")
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(history_config(300))]
 
     #[test]
     fn gate_counts_and_never_exceeds_its_limits(
--- a/components/members/src/fresh.rs
+++ b/components/members/src/fresh.rs
@@ -36,15 +36,15 @@
 
 /// Collects confirmations.
 #[derive(Debug)]
-pub struct FreshnessJudge {
+pub struct FreshnessTracker {
     bound: Duration,
     own_confirmed_at: Option<Instant>,
     /// Invariant: holds only peers that the last call of `retain` named, plus those heard since.
     reports: FastMap<VmId, PeerReport>,
 }
 
-impl FreshnessJudge {
-    /// A judge by whom a confirmation is good for `bound`.
+impl FreshnessTracker {
+    /// A tracker for which a confirmation is good for `bound`.
     pub fn new(bound: Duration) -> Self {
         Self { bound, own_confirmed_at: None, reports: FastMap::default() }
     }
@@ -61,7 +61,7 @@
     }
 
     /// Notes what a peer said.
-    pub fn hear(&mut self, peer: VmId, report: PeerReport) {
+    pub fn record_report(&mut self, peer: VmId, report: PeerReport) {
         self.reports.insert(peer, report);
     }
 
@@ -76,7 +76,7 @@
     }
 
     /// Decides at `now`, with `revision` in force here and `members` entry VMs, this one included.
-    pub fn judge(&self, now: Instant, revision: RevisionNumber, members: usize) -> ServingState {
+    pub fn evaluate(&self, now: Instant, revision: RevisionNumber, members: usize) -> ServingState {
         let by_peers = self
             .reports
             .values()
@@ -89,10 +89,15 @@
                 return ServingState::Fresh(until);
             }
         }
-        self.judge_outage(now, revision, members)
+        self.evaluate_outage(now, revision, members)
     }
 
-    fn judge_outage(&self, now: Instant, revision: RevisionNumber, members: usize) -> ServingState {
+    fn evaluate_outage(
+        &self,
+        now: Instant,
+        revision: RevisionNumber,
+        members: usize,
+    ) -> ServingState {
         let mut heard: Vec<&PeerReport> =
             self.reports.values().filter(|report| now < report.heard_at + self.bound).collect();
         let someone_reaches_table =
--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -10,7 +10,7 @@
 mod probes;
 mod row;
 
-pub use fresh::{FreshnessJudge, PeerReport, ServingState};
+pub use fresh::{FreshnessTracker, PeerReport, ServingState};
 pub use lease::{HeldSlot, LeaseTimes, SlotLease};
 pub use probes::{ProbeParts, probe_parts};
 pub use row::{MemberEntry, MemberRow, SLOT_PREFIX, newest_readable, slot_key};
--- a/components/members/tests/leases.rs
+++ b/components/members/tests/leases.rs
@@ -6,9 +6,9 @@
 use model::ProbeRate;
 use platform::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, StoreError};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use testkit::history_config;
 use tokio::time::Instant;
 
 const VMS: usize = 4;
@@ -130,12 +130,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 400,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(history_config(400))]
 
     #[test]
     fn holds_budget_no_slot_has_two_holders(steps in prop::collection::vec(step(), 1..120)) {
--- a/components/proxy/src/claiming.rs
+++ b/components/proxy/src/claiming.rs
@@ -8,8 +8,8 @@
 
 use board::Blackboard;
 use claims::{
-    BatchStep, ClaimBook, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
-    RecordedAnswer, RequestFingerprint, RowVerdict, SubmitRefusal, WorkOutcome, judge_row,
+    BatchStep, ClaimBatcher, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
+    RecordedAnswer, RequestFingerprint, RowStatus, SubmitRefusal, WorkOutcome, classify_row,
     read_claim,
 };
 use model::{AccountId, AttemptId, VmId};
@@ -35,24 +35,24 @@
 /// How often waiting writes are checked for their deadline.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// First and longest pause between two looks at another attempt's claim.
-const FIRST_LOOK: Duration = Duration::from_millis(50);
-const LONGEST_LOOK: Duration = Duration::from_millis(800);
+/// First and longest pause between two reads of another attempt's claim.
+const FIRST_POLL_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_POLL_PAUSE: Duration = Duration::from_millis(800);
 
 type Ticket = Option<oneshot::Sender<WorkOutcome>>;
 
 /// Where requests hand in their claims.
-pub struct ClaimDesk {
+pub struct ClaimCoordinator {
     vm: VmId,
     table: TableClient,
     board: Arc<Blackboard>,
     metrics: DaemonMetrics,
-    book: Mutex<ClaimBook<Ticket>>,
+    batcher: Mutex<ClaimBatcher<Ticket>>,
     changed: Notify,
 }
 
 /// What a request may do after it asked for its claim.
-pub(crate) enum ClaimEnd {
+pub(crate) enum ClaimOutcome {
     /// Run; this request holds the claim.
     Held(HeldClaim),
     /// Give this answer, which an earlier request got.
@@ -71,8 +71,8 @@
     version: u64,
 }
 
-/// A request's wish for a claim.
-pub(crate) struct ClaimWish {
+/// A request's request for a claim.
+pub(crate) struct ClaimRequest {
     pub(crate) key: ClaimKey,
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) deadline: Instant,
@@ -82,66 +82,66 @@
     pub(crate) may_run_unclaimed: bool,
 }
 
-enum LookEnd {
+enum PollOutcome {
     /// No claim stands there any more; the request may ask again.
     Gone,
     /// The claim is this attempt's own.
     Own(u64),
     /// The request has its answer.
-    End(ClaimEnd),
+    End(ClaimOutcome),
 }
 
-impl ClaimDesk {
-    /// A desk for one entry VM.
+impl ClaimCoordinator {
+    /// A coordinator for one entry VM.
     pub fn new(
         vm: VmId,
         table: TableClient,
         board: Arc<Blackboard>,
         metrics: DaemonMetrics,
     ) -> Self {
-        let book = ClaimBook::new(FLEET_COMMITS_PER_S, Instant::now());
-        Self { vm, table, board, metrics, book: Mutex::new(book), changed: Notify::new() }
+        let batcher = ClaimBatcher::new(FLEET_COMMITS_PER_S, Instant::now());
+        Self { vm, table, board, metrics, batcher: Mutex::new(batcher), changed: Notify::new() }
     }
 
     /// Whether nothing waits for the table.
     pub fn is_empty(&self) -> bool {
-        self.book().is_empty()
+        self.batcher().is_empty()
     }
 
     /// Asks for a claim until there is an answer or the deadline.
-    pub(crate) async fn claim(self: &Arc<Self>, wish: &ClaimWish) -> ClaimEnd {
-        let row_key = wish.key.row_key();
+    pub(crate) async fn claim(self: &Arc<Self>, request: &ClaimRequest) -> ClaimOutcome {
+        let row_key = request.key.row_key();
         let row = ClaimRow {
             attempt: AttemptId::random(),
             vm: self.vm.clone(),
-            fingerprint: wish.fingerprint.clone(),
+            fingerprint: request.fingerprint.clone(),
             created_ms: wall_clock_ms(),
             state: ClaimState::Running,
         };
-        let mut look = FIRST_LOOK;
+        let mut pause = FIRST_POLL_PAUSE;
         loop {
-            let outcome = match self.insert(wish, &row_key, &row).await {
+            let outcome = match self.insert(request, &row_key, &row).await {
                 Ok(outcome) => outcome,
-                Err(SubmitRefusal::TableDown) => return table_down(wish),
+                Err(SubmitRefusal::TableDown) => return table_down(request),
                 Err(SubmitRefusal::AccountQueueFull) => {
-                    return ClaimEnd::Refused(RequestRefusal::ClaimQueueFull);
+                    return ClaimOutcome::Refused(RequestRefusal::ClaimQueueFull);
                 }
             };
             match outcome {
-                WorkOutcome::Done(version) => return self.held(wish, row_key, row, version),
-                WorkOutcome::NotSent => return table_down(wish),
+                WorkOutcome::Done(version) => return self.held(request, row_key, row, version),
+                WorkOutcome::NotSent => return table_down(request),
                 WorkOutcome::Unsure => {
-                    self.release_unsure(wish, row_key, row);
+                    self.release_unsure(request, row_key, row);
                     // An earlier run can't be ruled out, so this one never runs unclaimed.
-                    return ClaimEnd::Refused(RequestRefusal::TableDown);
+                    return ClaimOutcome::Refused(RequestRefusal::TableDown);
                 }
                 WorkOutcome::Conflict => {}
             }
             // Someone's claim stands there; it may be this attempt's own, after a lost answer.
-            match self.look(wish, &row_key, &row, &mut look).await {
-                LookEnd::Gone => {}
-                LookEnd::End(end) => return end,
-                LookEnd::Own(version) => return self.held(wish, row_key, row, version),
+            match self.poll_claim(request, &row_key, &row, &mut pause).await {
+                PollOutcome::Gone => {}
+                PollOutcome::End(end) => return end,
+                PollOutcome::Own(version) => return self.held(request, row_key, row, version),
             }
         }
     }
@@ -160,72 +160,78 @@
         self.submit_later(&claim.account, work, None);
     }
 
-    fn held(&self, wish: &ClaimWish, row_key: Box<str>, row: ClaimRow, version: u64) -> ClaimEnd {
-        let claim = HeldClaim { account: wish.key.account.clone(), row_key, row, version };
+    fn held(
+        &self,
+        request: &ClaimRequest,
+        row_key: Box<str>,
+        row: ClaimRow,
+        version: u64,
+    ) -> ClaimOutcome {
+        let claim = HeldClaim { account: request.key.account.clone(), row_key, row, version };
         // A holder that was paused until its caller gave up must not run the request any more.
-        if Instant::now() >= wish.deadline {
+        if Instant::now() >= request.deadline {
             self.release(claim);
-            return ClaimEnd::Refused(RequestRefusal::DeadlineBefore);
+            return ClaimOutcome::Refused(RequestRefusal::DeadlineBefore);
         }
-        ClaimEnd::Held(claim)
+        ClaimOutcome::Held(claim)
     }
 
     async fn insert(
         &self,
-        wish: &ClaimWish,
+        request: &ClaimRequest,
         row_key: &str,
         row: &ClaimRow,
     ) -> Result<WorkOutcome, SubmitRefusal> {
         let now = Instant::now();
-        let deadline = wish.deadline.min(now + CLAIM_PATIENCE);
+        let deadline = request.deadline.min(now + CLAIM_PATIENCE);
         let (ticket, outcome) = oneshot::channel();
         let submission = ClaimSubmission {
-            account: wish.key.account.clone(),
+            account: request.key.account.clone(),
             work: ClaimWork::Insert { row_key: row_key.into(), row: row.clone() },
-            limit: wish.waiting_limit,
+            limit: request.waiting_limit,
             deadline,
             is_patient: false,
         };
-        self.book().submit(submission, Some(ticket), now)?;
+        self.batcher().submit(submission, Some(ticket), now)?;
         self.changed.notify_one();
-        // The desk's task ends only with the process.
+        // The coordinator's task ends only with the process.
         Ok(outcome.await.unwrap_or(WorkOutcome::Unsure))
     }
 
-    async fn look(
+    async fn poll_claim(
         &self,
-        wish: &ClaimWish,
+        request: &ClaimRequest,
         row_key: &str,
         row: &ClaimRow,
         pause: &mut Duration,
-    ) -> LookEnd {
+    ) -> PollOutcome {
         loop {
-            let remaining = wish.deadline.saturating_duration_since(Instant::now());
+            let remaining = request.deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
-                return LookEnd::End(ClaimEnd::Refused(RequestRefusal::EarlierUnknown));
+                return PollOutcome::End(ClaimOutcome::Refused(RequestRefusal::EarlierUnknown));
             }
             self.metrics.table_reads.inc();
             let read = timeout(remaining.min(CLAIM_PATIENCE), self.table.read(row_key)).await;
             let Ok(Ok(found)) = read else {
-                return LookEnd::End(ClaimEnd::Refused(RequestRefusal::EarlierUnknown));
+                return PollOutcome::End(ClaimOutcome::Refused(RequestRefusal::EarlierUnknown));
             };
             let Some((version, found)) =
                 found.and_then(|found| read_claim(&found).map(|claim| (found.version, claim)))
             else {
-                return LookEnd::Gone;
+                return PollOutcome::Gone;
             };
-            match judge_row(version, found, &row.attempt, &row.fingerprint) {
-                RowVerdict::Own(version) => return LookEnd::Own(version),
-                RowVerdict::Replay(answer) => return LookEnd::End(ClaimEnd::Replay(answer)),
-                RowVerdict::Mismatch => {
-                    return LookEnd::End(ClaimEnd::Refused(RequestRefusal::KeyMismatch));
+            match classify_row(version, found, &row.attempt, &row.fingerprint) {
+                RowStatus::Own(version) => return PollOutcome::Own(version),
+                RowStatus::Replay(answer) => return PollOutcome::End(ClaimOutcome::Replay(answer)),
+                RowStatus::Mismatch => {
+                    return PollOutcome::End(ClaimOutcome::Refused(RequestRefusal::KeyMismatch));
                 }
-                RowVerdict::Running(holder) if !self.is_live(&holder) => {
-                    return LookEnd::End(ClaimEnd::Refused(RequestRefusal::EarlierUnknown));
+                RowStatus::Running(holder) if !self.is_live(&holder) => {
+                    return PollOutcome::End(ClaimOutcome::Refused(RequestRefusal::EarlierUnknown));
                 }
-                RowVerdict::Running(_) => {
+                RowStatus::Running(_) => {
                     sleep((*pause).min(remaining)).await;
-                    *pause = (*pause * 2).min(LONGEST_LOOK);
+                    *pause = (*pause * 2).min(LONGEST_POLL_PAUSE);
                 }
             }
         }
@@ -237,9 +243,9 @@
 
     /// Removes a claim that may have been made after its answer was lost. It never runs: its
     /// request was refused. Until then, or if this VM fails first, a repeat is told "unknown".
-    fn release_unsure(self: &Arc<Self>, wish: &ClaimWish, row_key: Box<str>, row: ClaimRow) {
-        let desk = Arc::clone(self);
-        let account = wish.key.account.clone();
+    fn release_unsure(self: &Arc<Self>, request: &ClaimRequest, row_key: Box<str>, row: ClaimRow) {
+        let coordinator = Arc::clone(self);
+        let account = request.key.account.clone();
         let (ticket, outcome) = oneshot::channel();
         let insert = ClaimWork::Insert { row_key: row_key.clone(), row: row.clone() };
         // Once this very insert has ended one way or the other, no earlier copy of it can take
@@ -248,7 +254,7 @@
         tokio::spawn(async move {
             let version = match outcome.await {
                 Ok(WorkOutcome::Done(version)) => Some(version),
-                Ok(WorkOutcome::Conflict) => match desk.table.read(&row_key).await {
+                Ok(WorkOutcome::Conflict) => match coordinator.table.read(&row_key).await {
                     Ok(Some(found)) => read_claim(&found)
                         .filter(|claim| claim.attempt == row.attempt)
                         .map(|_| found.version),
@@ -257,7 +263,7 @@
                 _ => None,
             };
             if let Some(version) = version {
-                desk.release(HeldClaim { account, row_key, row, version });
+                coordinator.release(HeldClaim { account, row_key, row, version });
             }
         });
     }
@@ -272,64 +278,68 @@
             is_patient: true,
         };
         // A write that finds no room is dropped: repeats are then told "unknown".
-        let _ = self.book().submit(submission, ticket, now);
+        let _ = self.batcher().submit(submission, ticket, now);
         self.changed.notify_one();
     }
 
-    fn book(&self) -> MutexGuard<'_, ClaimBook<Ticket>> {
-        self.book.lock().expect("claim lock is never poisoned")
+    fn batcher(&self) -> MutexGuard<'_, ClaimBatcher<Ticket>> {
+        self.batcher.lock().expect("claim lock is never poisoned")
     }
 }
 
-fn table_down(wish: &ClaimWish) -> ClaimEnd {
-    if wish.may_run_unclaimed {
-        return ClaimEnd::Unclaimed;
+fn table_down(request: &ClaimRequest) -> ClaimOutcome {
+    if request.may_run_unclaimed {
+        return ClaimOutcome::Unclaimed;
     }
-    ClaimEnd::Refused(RequestRefusal::TableDown)
+    ClaimOutcome::Refused(RequestRefusal::TableDown)
 }
 
-/// Runs the desk's transactions, one at a time, for as long as the process runs.
-pub async fn run_claims(desk: Arc<ClaimDesk>) {
+/// Runs the coordinator's transactions, one at a time, for as long as the process runs.
+pub async fn run_claims(coordinator: Arc<ClaimCoordinator>) {
     let mut expiry = interval(EXPIRY_INTERVAL);
     loop {
         let now = Instant::now();
-        let members = desk.board.fleet().members.len().max(1);
+        let members = coordinator.board.fleet().members.len().max(1);
         let step = {
-            let mut book = desk.book();
-            book.set_rate(FLEET_COMMITS_PER_S / members as f64, now);
-            book.next_batch(now)
+            let mut batcher = coordinator.batcher();
+            batcher.set_rate(FLEET_COMMITS_PER_S / members as f64, now);
+            batcher.next_batch(now)
         };
         match step {
-            BatchStep::Commit(request) => run_commit(&desk, &request, &mut expiry).await,
+            BatchStep::Commit(request) => run_commit(&coordinator, &request, &mut expiry).await,
             BatchStep::Wait(pause) => {
                 sleep(pause.min(EXPIRY_INTERVAL)).await;
-                expire(&desk);
+                expire(&coordinator);
             }
             BatchStep::Idle => {
                 tokio::select! {
-                    () = desk.changed.notified() => {}
-                    _ = expiry.tick() => expire(&desk),
+                    () = coordinator.changed.notified() => {}
+                    _ = expiry.tick() => expire(&coordinator),
                 }
             }
         }
     }
 }
 
-async fn run_commit(desk: &ClaimDesk, request: &CommitRequest, expiry: &mut Interval) {
-    desk.metrics.table_commits.inc();
-    let mut commit = std::pin::pin!(desk.table.commit(request));
+async fn run_commit(
+    coordinator: &ClaimCoordinator,
+    request: &CommitRequest,
+    expiry: &mut Interval,
+) {
+    coordinator.metrics.table_commits.inc();
+    let mut commit = std::pin::pin!(coordinator.table.commit(request));
     let outcome = loop {
         tokio::select! {
             outcome = &mut commit => break outcome,
-            _ = expiry.tick() => expire(desk),
+            _ = expiry.tick() => expire(coordinator),
         }
     };
-    let ended = desk.book().settle(&outcome, Instant::now());
+    let ended = coordinator.batcher().settle(&outcome, Instant::now());
     tell(ended);
 }
 
-fn expire(desk: &ClaimDesk) {
-    let ended = desk.book().expire(Instant::now());
+fn expire(coordinator: &ClaimCoordinator) {
+    let ended = coordinator.batcher().expire(Instant::now());
     tell(ended);
 }
 
--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use balance::{PickOutcome, ServerTicket};
-use board::{Blackboard, LeavingSign};
+use board::{Blackboard, DrainNotice};
 use observe::{DaemonMetrics, TraceExporter};
 use records::ServicePlan;
 
@@ -60,14 +60,14 @@
 }
 
 /// How one try ended.
-type TryEnd = Result<ServerAnswer, ExchangeFailure>;
+type TryResult = Result<ServerAnswer, ExchangeFailure>;
 
 impl RequestDispatch<'_> {
     /// Sends the request and waits for the head of an answer.
     pub(crate) async fn run(mut self) -> Result<ServerAnswer, RequestRefusal> {
         let is_repeatable = self.is_idempotent && !is_second_try(&self.head.headers);
         let end = if is_repeatable { self.run_with_tries().await } else { self.run_once().await };
-        end.map_err(|refusal| self.honest(refusal))
+        end.map_err(|refusal| self.with_earlier_tries(refusal))
     }
 
     /// Sends it until one server may have received it.
@@ -100,7 +100,7 @@
                 end = tries.next() => end,
                 () = sleep_until(hedge_at), if may_hedge => {
                     may_hedge = false;
-                    self.runtime.group().suspect(first, patience, Instant::now());
+                    self.runtime.group().report_slow(first, patience, Instant::now());
                     if let Some(lease) = self.second_try() {
                         // What hangs may be the connection, so the second try takes a new one.
                         tries.extend(self.connect_and_try(lease, ConnectionTrust::New));
@@ -126,7 +126,7 @@
         }
     }
 
-    fn end_tries(&self, end: TryEnd) -> Result<ServerAnswer, RequestRefusal> {
+    fn end_tries(&self, end: TryResult) -> Result<ServerAnswer, RequestRefusal> {
         match end {
             Ok(answer) => self.pass_or_refuse(answer),
             Err(failure) => Err(refusal_of(failure)),
@@ -134,7 +134,7 @@
     }
 
     /// Whether a server may have begun to run a request whose try ended like this.
-    fn shows_run(&self, end: &TryEnd) -> bool {
+    fn shows_run(&self, end: &TryResult) -> bool {
         match end {
             Ok(answer) => !self.is_refusal(answer.response.status().as_u16()),
             Err(failure) => *failure != ExchangeFailure::Unreachable,
@@ -142,7 +142,7 @@
     }
 
     /// A refusal never says that the request did not run when an earlier try may have run it.
-    fn honest(&self, refusal: RequestRefusal) -> RequestRefusal {
+    fn with_earlier_tries(&self, refusal: RequestRefusal) -> RequestRefusal {
         if self.may_have_run && refusal.outcome() == RunOutcome::NotRun {
             return RequestRefusal::BrokenOff;
         }
@@ -209,7 +209,7 @@
         &mut self,
         lease: ExchangeLease,
         trust: ConnectionTrust,
-    ) -> Result<impl Future<Output = TryEnd> + use<>, RequestRefusal> {
+    ) -> Result<impl Future<Output = TryResult> + use<>, RequestRefusal> {
         let plan = self.exchange_plan(&lease, trust)?;
         let connect_plan = plan.clone();
         let sending = self.prepare_try(plan);
@@ -222,7 +222,7 @@
         })
     }
 
-    async fn start_try(&mut self, lease: ExchangeLease, plan: ExchangePlan) -> TryEnd {
+    async fn start_try(&mut self, lease: ExchangeLease, plan: ExchangePlan) -> TryResult {
         self.prepare_try(plan)(lease).await
     }
 
@@ -230,7 +230,7 @@
     fn prepare_try(
         &mut self,
         plan: ExchangePlan,
-    ) -> impl FnOnce(ExchangeLease) -> Pin<Box<dyn Future<Output = TryEnd> + Send>> + Send + use<>
+    ) -> impl FnOnce(ExchangeLease) -> Pin<Box<dyn Future<Output = TryResult> + Send>> + Send + use<>
     {
         let mut headers = self.head.headers.clone();
         set_deadline(&mut headers, plan.deadline.saturating_duration_since(Instant::now()));
@@ -300,6 +300,6 @@
         return;
     };
     if group.mark_leaving(&server, Instant::now()) {
-        board.tell_sign(LeavingSign { server, is_own: true });
+        board.send_notice(DrainNotice { server, is_own: true });
     }
 }
--- a/components/proxy/src/handler.rs
+++ b/components/proxy/src/handler.rs
@@ -21,7 +21,7 @@
 use records::RoutePlan;
 
 use crate::answer::{AnswerBody, AnswerStream};
-use crate::claiming::{ClaimDesk, ClaimEnd, ClaimWish, HeldClaim};
+use crate::claiming::{ClaimCoordinator, ClaimOutcome, ClaimRequest, HeldClaim};
 use crate::dispatch::{DispatchParts, RequestDispatch, RequestHead};
 use crate::exchange::ServerAnswer;
 use crate::headers::{
@@ -46,7 +46,7 @@
 pub struct RequestHandler {
     parts: DispatchParts,
     services: Arc<ServiceTable>,
-    desk: Arc<ClaimDesk>,
+    coordinator: Arc<ClaimCoordinator>,
     gate: Mutex<AdmissionGate>,
     body_limits: BodyLimits,
 }
@@ -79,7 +79,7 @@
     pub fn new(
         board: Arc<Blackboard>,
         services: Arc<ServiceTable>,
-        desk: Arc<ClaimDesk>,
+        coordinator: Arc<ClaimCoordinator>,
         metrics: DaemonMetrics,
         traces: TraceExporter,
         limits: &settings::CallerSettings,
@@ -87,7 +87,7 @@
         Self {
             parts: DispatchParts { board, metrics, traces },
             services,
-            desk,
+            coordinator,
             gate: Mutex::new(AdmissionGate::new(limits.in_flight)),
             body_limits: BodyLimits { pause: limits.body_pause(), bytes: limits.body_bytes },
         }
@@ -100,7 +100,7 @@
 
     /// Waits until no request is in flight and no claim waits.
     pub async fn drained(&self) {
-        while self.in_flight() > 0 || !self.desk.is_empty() {
+        while self.in_flight() > 0 || !self.coordinator.is_empty() {
             tokio::time::sleep(DRAIN_LOOK).await;
         }
     }
@@ -237,13 +237,13 @@
             .await
             .map_err(|_| RequestRefusal::DeadlineBefore)?
             .map_err(refusal_of_body)?;
-        let wish = claim_wish(&routed, key, &part);
+        let request = claim_request(&routed, key, &part);
         let task = tokio::spawn(async move {
-            match self.desk.claim(&wish).await {
-                ClaimEnd::Held(claim) => self.run_held(routed, claim).await,
-                ClaimEnd::Unclaimed => self.dispatch(routed, false).await,
-                ClaimEnd::Replay(answer) => Ok((replay(&answer), RequestOutcome::Replayed)),
-                ClaimEnd::Refused(refusal) => Err(refusal),
+            match self.coordinator.claim(&request).await {
+                ClaimOutcome::Held(claim) => self.run_held(routed, claim).await,
+                ClaimOutcome::Unclaimed => self.dispatch(routed, false).await,
+                ClaimOutcome::Replay(answer) => Ok((replay(&answer), RequestOutcome::Replayed)),
+                ClaimOutcome::Refused(refusal) => Err(refusal),
             }
         });
         // A panic in the task leaves it unknown whether the request ran.
@@ -260,7 +260,7 @@
             Ok(sent) => sent,
             Err(refusal) => {
                 if refusal.outcome() == RunOutcome::NotRun {
-                    self.desk.release(claim);
+                    self.coordinator.release(claim);
                 }
                 return Err(refusal);
             }
@@ -269,7 +269,8 @@
         // An answer that breaks off stays unknown to repeated requests too.
         let (kept, is_whole) =
             read_recordable(&mut body).await.map_err(|_| RequestRefusal::BrokenOff)?;
-        self.desk.record(claim, recorded(&parts.status, &parts.headers, is_whole.then_some(&kept)));
+        self.coordinator
+            .record(claim, recorded(&parts.status, &parts.headers, is_whole.then_some(&kept)));
         let body = match is_whole {
             true => Full::new(kept).map_err(|never| match never {}).boxed_unsync(),
             false => PrefixedBody::new(kept, body).boxed_unsync(),
@@ -350,9 +351,9 @@
     Ok((kept.freeze(), true))
 }
 
-fn claim_wish(routed: &RoutedRequest, key: Box<str>, body_part: &Bytes) -> ClaimWish {
+fn claim_request(routed: &RoutedRequest, key: Box<str>, body_part: &Bytes) -> ClaimRequest {
     let account = &routed.route.account;
-    ClaimWish {
+    ClaimRequest {
         key: ClaimKey {
             account: account.id.clone(),
             service: routed.route.service.key.name.clone(),
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -17,7 +17,7 @@
 mod service;
 mod watch_io;
 
-pub use claiming::{ClaimDesk, run_claims};
+pub use claiming::{ClaimCoordinator, run_claims};
 pub use handler::RequestHandler;
 pub use listener::{CallerListener, ListenerLimits};
 pub use probe::{ProbeOrder, run_probe};
--- a/components/proxy/src/probe.rs
+++ b/components/proxy/src/probe.rs
@@ -32,44 +32,48 @@
 /// Sends one probe and notes its answer.
 pub async fn run_probe(runtime: Arc<ServiceRuntime>, order: ProbeOrder, metrics: DaemonMetrics) {
     let answer = timeout(PROBE_TIME, probe(&runtime, &order, &metrics)).await;
-    let report = answer.unwrap_or(ProbeEnd::Failed);
+    let report = answer.unwrap_or(ProbeResult::Failed);
     let now = Instant::now();
     let outcome = match report {
-        ProbeEnd::Answered(report) => ProbeOutcome::Answered(report),
-        ProbeEnd::Failed => ProbeOutcome::Failed,
-        ProbeEnd::NotSent => return,
+        ProbeResult::Answered(report) => ProbeOutcome::Answered(report),
+        ProbeResult::Failed => ProbeOutcome::Failed,
+        ProbeResult::NotSent => return,
     };
     runtime.group().take_probe(order.target.ticket, outcome, now);
 }
 
-enum ProbeEnd {
+enum ProbeResult {
     Answered(Option<LoadReport>),
     Failed,
     /// The lease ran out, or the server has no connection to spare.
     NotSent,
 }
 
-async fn probe(runtime: &ServiceRuntime, order: &ProbeOrder, metrics: &DaemonMetrics) -> ProbeEnd {
+async fn probe(
+    runtime: &ServiceRuntime,
+    order: &ProbeOrder,
+    metrics: &DaemonMetrics,
+) -> ProbeResult {
     let Some(mut connection) = connect(runtime, order).await else {
-        return ProbeEnd::Failed;
+        return ProbeResult::Failed;
     };
     let Some(request) = probe_request(order) else {
-        return ProbeEnd::NotSent;
+        return ProbeResult::NotSent;
     };
     // Checked last, since a process can be paused at any point before.
     if Instant::now() >= order.valid_until {
-        return ProbeEnd::NotSent;
+        return ProbeResult::NotSent;
     }
     metrics.probes.inc();
     let Ok(answer) = connection.sender.send_request(request).await else {
-        return ProbeEnd::Failed;
+        return ProbeResult::Failed;
     };
     let report = read_report(answer.headers());
     let is_whole = answer.into_body().collect().await.is_ok();
     if is_whole {
         runtime.pool.put(connection, Instant::now());
     }
-    ProbeEnd::Answered(report)
+    ProbeResult::Answered(report)
 }
 
 async fn connect(runtime: &ServiceRuntime, order: &ProbeOrder) -> Option<BackendConnection> {
--- a/components/proxy/src/service.rs
+++ b/components/proxy/src/service.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 use balance::{
-    BalanceOptions, GroupSpec, ListedServer, ServerAddress, ServerGroup, choose_home, choose_subset,
+    BalanceOptions, GroupSpec, ListedServer, ServerAddress, ServerGroup, choose_preferred,
+    choose_subset,
 };
 use board::Blackboard;
 use limits::RetryBudget;
@@ -22,8 +23,8 @@
 /// other, so an entry VM uses fewer servers instead.
 const MIN_USEFUL_CONNECTIONS: u32 = 4;
 
-/// Entry VMs for which one server is a home server.
-const HOME_MEMBERS: usize = 3;
+/// Entry VMs for which one server is a preferred server.
+const PREFERRED_BY: usize = 3;
 
 /// Servers, connections and budgets of one service.
 pub struct ServiceRuntime {
@@ -162,21 +163,21 @@
         let rank = fleet
             .held
             .and_then(|held| fleet.members.iter().position(|member| member.slot == held.slot));
-        let is_home = match rank {
-            Some(rank) => choose_home(&ids, rank, members, HOME_MEMBERS),
+        let is_preferred = match rank {
+            Some(rank) => choose_preferred(&ids, rank, members, PREFERRED_BY),
             None => vec![true; ids.len()],
         };
         chosen
             .iter()
-            .zip(is_home)
-            .map(|(entry, is_home)| ListedServer {
+            .zip(is_preferred)
+            .map(|(entry, is_preferred)| ListedServer {
                 place: ServerAddress {
                     id: entry.id.clone(),
                     address: entry.address,
                     zone: entry.zone.clone(),
                 },
                 is_leaving: entry.state == ServerState::Leaving,
-                is_home,
+                is_preferred,
             })
             .collect()
     }
--- a/components/records/tests/records.rs
+++ b/components/records/tests/records.rs
@@ -5,12 +5,12 @@
 use model::{OperationId, RecordKey, RecordSpec, RevisionNumber, parse_record};
 use platform::{CommitOutcome, MemoryTable};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use records::{
     ApplyOutcome, ConfigSnapshot, RoutingTable, WriteRefusal, WriteRequest, WriteVerb, admit_write,
     plan_write,
 };
 use serde_json::{Value, json};
+use testkit::history_config;
 
 #[derive(Debug, Clone)]
 struct Wish {
@@ -65,12 +65,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(history_config(300))]
 
     #[test]
     fn holds_config_accepted_writes_form_one_order(
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -4,8 +4,8 @@
 
 use miette::{GraphicalReportHandler, GraphicalTheme};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use settings::load_settings;
+use testkit::history_config;
 
 fn examples() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
@@ -20,7 +20,8 @@
     let fault = load_settings(&path).expect_err("the settings are faulty");
     let mut text = String::new();
     GraphicalReportHandler::new_themed(GraphicalTheme::none())
-        .with_width(100)
+        // Wide enough that the length of the temporary folder moves no line break.
+        .with_width(10_000)
         .render_report(&mut text, &fault)
         .expect("the report can be rendered");
     text.replace(&format!("{}/", folder.display()), "")
@@ -65,12 +66,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(history_config(300))]
 
     /// Whatever stands in the file, the answer is settings or a report, never a panic.
     #[test]
--- a/components/testkit/examples/embedding.rs
+++ b/components/testkit/examples/embedding.rs
@@ -7,7 +7,7 @@
     ServerAddress, ServerGroup,
 };
 use claims::{
-    BatchStep, ClaimBook, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
+    BatchStep, ClaimBatcher, ClaimKey, ClaimRow, ClaimState, ClaimSubmission, ClaimWork,
     RequestFingerprint,
 };
 use limits::{AdmissionGate, AdmissionOutcome};
@@ -40,7 +40,7 @@
         address: ([127, 0, 0, 1], 8_080).into(),
         zone: "zone-a".parse().expect("a valid name"),
     };
-    group.set_servers(&[ListedServer { place, is_leaving: false, is_home: true }], now);
+    group.set_servers(&[ListedServer { place, is_leaving: false, is_preferred: true }], now);
     let picked = group.pick(Duration::from_secs(1), &[], now, &mut rand::rng());
     if let PickOutcome::Chosen { ticket, address, .. } = picked {
         println!("balance: send it to {address}");
@@ -66,7 +66,7 @@
 fn claim_order() {
     let now = Instant::now();
     let table = MemoryTable::new();
-    let mut book = ClaimBook::new(100.0, now);
+    let mut book = ClaimBatcher::new(100.0, now);
     let key = ClaimKey {
         account: "shop".parse().expect("a valid name"),
         service: "orders".parse().expect("a valid name"),
--- a/components/testkit/examples/policy/entry.rs
+++ b/components/testkit/examples/policy/entry.rs
@@ -16,7 +16,7 @@
 use model::{RevisionNumber, parse_record};
 use observe::{DaemonMetrics, Logger, TraceExporter, o};
 use platform::{MemoryTable, ServerEntry, ServerState, TableClient};
-use proxy::{CallerListener, ClaimDesk, ListenerLimits, RequestHandler, ServiceTable};
+use proxy::{CallerListener, ClaimCoordinator, ListenerLimits, RequestHandler, ServiceTable};
 use records::{ConfigSnapshot, RoutingTable, StoredRecord};
 
 use crate::backend::Backend;
@@ -83,12 +83,13 @@
     }
     let vm: model::VmId = format!("entry-{number}").parse().expect("the name is valid");
     let table = TableClient::in_memory(Arc::new(MemoryTable::new()));
-    let desk = Arc::new(ClaimDesk::new(vm, table, Arc::clone(&board), metrics.clone()));
+    let coordinator =
+        Arc::new(ClaimCoordinator::new(vm, table, Arc::clone(&board), metrics.clone()));
     let limits = settings::CallerSettings::default();
     let handler = Arc::new(RequestHandler::new(
         Arc::clone(&board),
         Arc::clone(&services),
-        desk,
+        coordinator,
         metrics.clone(),
         TraceExporter::default(),
         &limits,
--- a/components/testkit/examples/slopes/main.rs
+++ b/components/testkit/examples/slopes/main.rs
@@ -1,23 +1,26 @@
 //! Measures how control costs grow, and works out the planned size from the slopes.
 //!
-//! `cargo build --release && cargo run --release -p testkit --example slopes`
+//! `cargo build --release && cargo run --release -p testkit --example slopes` measures all, and
+//! `… --example slopes page` only works out the page again from what was measured.
 
 mod measure;
 mod page;
 
 use std::path::Path;
 
+use serde::{Deserialize, Serialize};
 use testkit::LineFit;
 
-/// Where plots are written.
-const PLOT_FOLDER: &str = "docs/capacity";
+/// Where plots and measured points are written.
+const FOLDER: &str = "docs/capacity";
 
 /// One measured dependency.
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct SlopeSeries {
     /// What grows.
-    pub(crate) cause: &'static str,
+    pub(crate) cause: Box<str>,
     /// What is measured, with its unit.
-    pub(crate) effect: &'static str,
+    pub(crate) effect: Box<str>,
     pub(crate) points: Vec<(f64, f64)>,
 }
 
@@ -29,23 +32,27 @@
 
 #[tokio::main]
 async fn main() {
-    let only = std::env::args().nth(1);
-    let mut all = Vec::new();
-    for (name, series) in measure::all(only.as_deref()).await {
-        for one in series {
-            let fit = one.fit();
-            println!(
-                "{name}: {} = {:.6} + {:.9} x {} (worst residual {:.6}) {:?}",
-                one.effect, fit.intercept, fit.slope, one.cause, fit.worst_residual, one.points
-            );
-            page::plot(PLOT_FOLDER, &one);
-            all.push(one);
+    let word = std::env::args().nth(1);
+    let measured = format!("{FOLDER}/measured.json");
+    if word.as_deref() != Some("page") {
+        let all = measure::all(word.as_deref()).await;
+        for series in &all {
+            println!("{}: {:?} {:?}", series.effect, series.fit(), series.points);
         }
+        if word.is_some() {
+            return;
+        }
+        let text = serde_json::to_string_pretty(&all).expect("points can be written");
+        std::fs::write(&measured, text + "\n").expect("run this in the project's folder");
     }
-    if only.is_none() {
-        let planned = std::fs::read_to_string("docs/capacity/planned.json")
-            .expect("run this in the project's folder");
-        let planned = serde_json::from_str(&planned).expect("the planned sizes are JSON");
-        page::write(Path::new("docs/CAPACITY.md"), &all, &planned);
+    let all: Vec<SlopeSeries> = read(&measured);
+    for series in &all {
+        page::plot(FOLDER, series);
     }
+    page::write(Path::new("docs/CAPACITY.md"), &all, &read(&format!("{FOLDER}/planned.json")));
+}
+
+fn read<T: for<'de> Deserialize<'de>>(path: &str) -> T {
+    let text = std::fs::read_to_string(path).expect("run this in the project's folder");
+    serde_json::from_str(&text).expect("the file is JSON of the expected shape")
 }
--- a/components/testkit/examples/slopes/measure.rs
+++ b/components/testkit/examples/slopes/measure.rs
@@ -37,26 +37,26 @@
 }
 
 /// All measurements, or the one with a name.
-pub(crate) async fn all(only: Option<&str>) -> Vec<(&'static str, Vec<SlopeSeries>)> {
+pub(crate) async fn all(only: Option<&str>) -> Vec<SlopeSeries> {
     let mut all = Vec::new();
     let wants = |name: &str| only.is_none_or(|only| only == name);
     if wants("vms") {
-        all.push(("vms", entry_vms().await));
+        all.extend(entry_vms().await);
     }
     if wants("workers") {
-        all.push(("workers", workers().await));
+        all.extend(workers().await);
     }
     if wants("services") {
-        all.push(("services", services().await));
+        all.extend(services().await);
     }
     if wants("accounts") {
-        all.push(("accounts", accounts().await));
+        all.extend(accounts().await);
     }
     if wants("changes") {
-        all.push(("changes", changes().await));
+        all.extend(changes().await);
     }
     if wants("claims") {
-        all.push(("claims", claims().await));
+        all.extend(claims().await);
     }
     all
 }
@@ -102,8 +102,8 @@
     effects
         .iter()
         .map(|(effect, measure)| SlopeSeries {
-            cause,
-            effect,
+            cause: cause.into(),
+            effect: (*effect).into(),
             points: points.iter().map(|(x, cost)| (*x, measure(cost))).collect(),
         })
         .collect()
--- a/components/testkit/examples/slopes/page.rs
+++ b/components/testkit/examples/slopes/page.rs
@@ -27,13 +27,13 @@
     let most_x = series.points.iter().map(|(x, _)| *x).fold(0.0, f64::max) * 1.05;
     let most_y = series.points.iter().map(|(_, y)| *y).fold(0.0, f64::max) * 1.2 + 1e-9;
     let mut chart = ChartBuilder::on(&area)
-        .caption(series.effect, ("sans-serif", 14))
+        .caption(&series.effect, ("sans-serif", 14))
         .margin(8)
         .x_label_area_size(28)
         .y_label_area_size(48)
         .build_cartesian_2d(0.0..most_x, 0.0..most_y)
         .expect("the plot can be drawn");
-    chart.configure_mesh().x_desc(series.cause).draw().expect("the plot can be drawn");
+    chart.configure_mesh().x_desc(&*series.cause).draw().expect("the plot can be drawn");
     let fit = series.fit();
     chart
         .draw_series(LineSeries::new([(0.0, fit.at(0.0)), (most_x, fit.at(most_x))], &BLUE))
@@ -94,17 +94,16 @@
     }
 
     fn fit(&self, effect: &str) -> testkit::LineFit {
-        let found = self.all.iter().find(|series| series.effect == effect);
+        let found = self.all.iter().find(|series| *series.effect == *effect);
         found.unwrap_or_else(|| panic!("\"{effect}\" was not measured")).fit()
     }
 
     /// Control costs of one entry VM in a mesh of `vms`, at these sizes: percent of a core, peer
     /// bytes a second, platform bytes a second, MB.
-    fn control(&self, vms: f64, sizes: [f64; 4]) -> [f64; 4] {
-        let [workers, services, accounts, changes] = sizes;
+    fn control(&self, vms: f64, sizes: [f64; 5]) -> [f64; 4] {
+        // One list change a second was measured, so its slopes count for each change a second.
+        let [workers, services, accounts, changes, list_changes] = sizes;
         let by_vms = self.fit("control cpu, % of a core");
-        // One list change a second was measured; that many workers are replaced in a day.
-        let list_changes = self.size("replacements_per_day") / 86_400.0;
         let cpu = by_vms.at(vms)
             + self.slope("control cpu with a list change a second, % of a core")
                 * workers
@@ -132,11 +131,26 @@
     let vms = (plan.size("calls_per_s") / per_vm).ceil();
     let regional = (vms / plan.size("regions")).ceil();
     let changes = plan.size("changes_per_day") / 86_400.0;
-    let whole = [plan.size("workers"), plan.size("services"), plan.size("accounts"), changes];
+    let [workers, services, accounts] = ["workers", "services", "accounts"].map(|n| plan.size(n));
+    let replaced = plan.size("replacements_per_day") / 86_400.0;
+    let regions = plan.size("regions");
     let rows = [
-        ("today, 15 entry VMs, 35 workers", 15.0, [35.0, 4.0, 1.0, 0.001]),
-        ("planned, one mesh over all regions", vms, whole),
-        ("planned, mesh within a region only", regional, whole),
+        ("today, 15 entry VMs, 35 workers", 15.0, [35.0, 4.0, 1.0, 0.001, 0.001]),
+        (
+            "planned, one mesh and list over all regions",
+            vms,
+            [workers, services, accounts, changes, replaced],
+        ),
+        (
+            "planned, mesh within a region, one list",
+            regional,
+            [workers, services, accounts, changes, replaced],
+        ),
+        (
+            "planned, mesh and list within a region",
+            regional,
+            [workers / regions, services, accounts, changes, replaced / regions],
+        ),
     ];
     let mut text = format!(
         "\n### Entry VMs\n\n{per_core:.0} requests for each core second (overhead example), \
--- a/components/testkit/src/relay.rs
+++ b/components/testkit/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,6 +14,8 @@
     pub address: SocketAddr,
     /// Connections made before this generation are silent.
     generation: Arc<AtomicU64>,
+    /// Whether new connections are silent too.
+    is_cut: Arc<AtomicBool>,
     task: JoinHandle<()>,
 }
 
@@ -29,9 +31,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound socket has an address");
         let generation = Arc::new(AtomicU64::new(0));
-        let current = Arc::clone(&generation);
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let (current, cut) = (Arc::clone(&generation), Arc::clone(&is_cut));
         let task = tokio::spawn(async move {
+            let mut kept_silent = Vec::new();
             while let Ok((near, _)) = listener.accept().await {
+                if cut.load(Ordering::SeqCst) {
+                    kept_silent.push(near);
+                    continue;
+                }
                 let born = current.load(Ordering::SeqCst);
                 let current = Arc::clone(&current);
                 tokio::spawn(async move {
@@ -48,7 +56,13 @@
                 });
             }
         });
-        Self { address, generation, task }
+        Self { address, generation, is_cut, task }
+    }
+
+    /// Makes all connections silent, those of now and new ones.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        self.silence();
     }
 
     /// Makes all connections of now silent for good; new ones work.
--- a/tests/holds_config.rs
+++ b/tests/holds_config.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use testkit::{
-    CallRequest, FLEET_KEY, TestFleet, TestService, account_record, call, policy_record,
+    CallRequest, CutRelay, FLEET_KEY, TestFleet, TestService, account_record, call, policy_record,
     service_record,
 };
 use tokio::time::{Instant, sleep};
@@ -130,6 +130,37 @@
     fleet.wait_serving("new.test").await;
 }
 
+/// A VM that is cut from the table alone follows its peers, and goes on serving.
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_vm_cut_from_the_table_follows_its_peers() {
+    let mut fleet = TestFleet::without_daemons(common::DAEMON.as_ref()).await;
+    let relay = CutRelay::start(fleet.platform.address()).await;
+    let list = fleet.platform.address();
+    for table in [list, list, relay.address] {
+        let platform = json!({ "table": table, "list": list, "call_ms": 500 });
+        fleet.add_daemon(&json!({ "platform": platform }));
+    }
+    fleet.wait_members(3).await;
+    let service =
+        TestService::start("shop", "orders", 2, 4, &serve(Duration::from_millis(1))).await;
+    fleet.platform.set_servers(service.entries.clone());
+    fleet.put_account("shop", &service, &json!({})).await;
+    fleet.wait_serving("shop.test").await;
+    relay.cut();
+    // Long enough that its own confirmation has lapsed.
+    sleep(Duration::from_secs(10)).await;
+    let answer = call(&lookup(&fleet, 2, "cut")).await.expect("answered");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let accepted_at = Instant::now();
+    let revision = fleet.put(&service_record("shop", "later", &Value::Null)).await;
+    fleet.wait_revision(revision).await;
+    assert!(accepted_at.elapsed() < IN_FORCE_BOUND);
+    // What this VM can't claim in the table it refuses, and it says so truthfully.
+    let answer = call(&common::order(&fleet, 2, "key", "cut-order")).await.expect("answered");
+    assert_eq!((answer.status, answer.outcome()), (503, "not-run"), "{}", answer.text());
+    assert_eq!(service.runs_of("cut-order"), 0);
+}
+
 async fn replace_account(fleet: &TestFleet, hosts: &[&str]) -> Value {
     let base = revision_of(fleet, 0, "shop/client-account/shop/1").await;
     json!({ "verb": "replace", "record": account_record("shop", hosts), "base": base })
