--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -120,6 +120,54 @@
     assert!(!refused.text().contains("\"kilang\""), "{}", refused.text());
 }
 
+/// The command line: profile file, environment, exit statuses, and writes sent twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn command_line_says_what_happened_by_its_exit_status() {
+    let fleet = TestFleet::start(Path::new(DAEMON), 1).await;
+    let address = fleet.daemons[0].operators.to_string();
+    let folder = std::env::temp_dir().join(format!("mustardrail-cli-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+    let write = |name: &str, content: &Value| {
+        let path = folder.join(name);
+        std::fs::write(&path, content.to_string()).expect("the temporary folder can be written");
+        path.display().to_string()
+    };
+    let profile = write("profile.json", &json!({ "address": address, "key": FLEET_KEY }));
+    let account = write("account.json", &account_record("shop", &["shop.test"]));
+    let faulty = write("faulty.json", &json!({ "schema": 1, "kind": "service", "account": "x" }));
+    let run = |words: &[&str]| {
+        let output = Command::new(COMMAND)
+            .args(words)
+            .env("MUSTARDRAIL_PROFILE", &profile)
+            .output()
+            .expect("the command can be started");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        (output.status.code().unwrap_or(-1), text)
+    };
+    let cases: [(&[&str], i32, &str); 9] = [
+        (&["put", &account, "--operation", "00ff"], 0, "accepted as revision 1"),
+        (&["put", &account, "--operation", "00ff"], 0, "accepted as revision 1"),
+        (&["put", &account], 3, "record is at revision 1"),
+        (&["replace", &account, "--base", "7"], 3, "based on revision 7, record is at revision 1"),
+        (&["put", &faulty], 3, "$.name: is missing"),
+        (&["show", "shop/client-account/shop/1"], 0, "\"shop.test\""),
+        (&["show", "shop/client-account/none/1"], 3, "no such record"),
+        (&["operation", "00ff"], 0, "accepted as revision 1"),
+        (&["fly"], 2, "command \"fly\" does not exist"),
+    ];
+    for (words, status, part) in cases {
+        let (got, text) = run(words);
+        assert_eq!(got, status, "{words:?}: {text}");
+        assert!(text.contains(part), "{words:?}: {text}");
+    }
+    let (status, text) = run(&["--address", "127.0.0.1:1", "list"]);
+    assert_eq!(status, 1, "{text}");
+    let (status, text) = run(&["list", "--json"]);
+    let listed: Value = serde_json::from_str(&text).expect("--json prints JSON");
+    assert_eq!((status, &listed["revision"]), (0, &json!(1)));
+}
+
 fn records_hash(key: &str) -> String {
     let mut child = Command::new(COMMAND)
         .arg("hash-key")
