--- a/components/daemon/src/dev.rs
+++ b/components/daemon/src/dev.rs
@@ -16,9 +16,9 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use model::{AccountId, OperationId, ServerId};
+use model::{AccountId, ServerId};
 use platform::{ListClient, MemoryTable, ServerEntry, ServerState, TableClient};
-use records::{ConfigSnapshot, WriteRequest, WriteVerb, admit_write, hash_key, plan_write};
+use records::{ConfigSnapshot, WriteRequest, admit_write, hash_key, plan_write};
 use settings::DaemonSettings;
 
 use crate::run::{DaemonFault, PlatformClients, run_with};
@@ -141,13 +141,7 @@
     let mut revision_row = None;
     for record in records {
         let record = model::parse_record(&record).expect("sample records are valid");
-        let request = WriteRequest {
-            operation: OperationId::random(),
-            verb: WriteVerb::Put,
-            key: record.key.clone(),
-            base: None,
-            record: Some(record),
-        };
+        let request = WriteRequest::put(record);
         let entry = admit_write(&snapshot, &request, &fleet, &model::RecordSpec::newest_schema)
             .expect("sample records are valid");
         if let platform::CommitOutcome::Done(version) =
--- a/components/records/src/change.rs
+++ b/components/records/src/change.rs
@@ -35,6 +35,19 @@
     pub record: Option<VersionedRecord>,
 }
 
+impl WriteRequest {
+    /// A new operation that creates a record.
+    pub fn put(record: VersionedRecord) -> Self {
+        Self {
+            operation: OperationId::random(),
+            verb: WriteVerb::Put,
+            key: record.key.clone(),
+            base: None,
+            record: Some(record),
+        }
+    }
+}
+
 /// What an accepted write does to the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/records/tests/examples.rs
+++ b/components/records/tests/examples.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use model::{OperationId, RecordSpec, parse_record};
-use records::{ConfigSnapshot, RoutingTable, WriteRequest, WriteVerb, admit_write};
+use model::{RecordSpec, parse_record};
+use records::{ConfigSnapshot, RoutingTable, WriteRequest, admit_write};
 
 #[test]
 fn example_records_are_accepted_and_route() {
@@ -22,13 +22,7 @@
             let value = serde_json::from_str(&text).expect("the file is JSON");
             let record =
                 parse_record(&value).unwrap_or_else(|faults| panic!("{file:?}: {faults:?}"));
-            let request = WriteRequest {
-                operation: OperationId::random(),
-                verb: WriteVerb::Put,
-                key: record.key.clone(),
-                base: None,
-                record: Some(record),
-            };
+            let request = WriteRequest::put(record);
             let entry = admit_write(&snapshot, &request, &actor, &RecordSpec::newest_schema)
                 .unwrap_or_else(|refusal| panic!("{file:?}: {refusal}"));
             snapshot.apply(&entry);
@@ -66,13 +60,7 @@
     let mut snapshot = ConfigSnapshot::default();
     for (record, is_accepted) in [(account, true), (service, false)] {
         let record = parse_record(&record).expect("the shape is valid");
-        let request = WriteRequest {
-            operation: OperationId::random(),
-            verb: WriteVerb::Put,
-            key: record.key.clone(),
-            base: None,
-            record: Some(record),
-        };
+        let request = WriteRequest::put(record);
         let oldest = |_| model::SchemaVersion(1);
         match admit_write(&snapshot, &request, &actor, &oldest) {
             Ok(entry) => {
--- a/components/testkit/examples/embedding.rs
+++ b/components/testkit/examples/embedding.rs
@@ -12,9 +12,9 @@
 };
 use limits::{AdmissionGate, AdmissionOutcome};
 use members::{LeaseTimes, MemberRow, SlotLease};
-use model::{AccountLimits, AttemptId, OperationId, RecordSpec, parse_record};
+use model::{AccountLimits, AttemptId, RecordSpec, parse_record};
 use platform::MemoryTable;
-use records::{ConfigSnapshot, RoutingTable, WriteRequest, WriteVerb, admit_write, plan_write};
+use records::{ConfigSnapshot, RoutingTable, WriteRequest, admit_write, plan_write};
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -114,13 +114,7 @@
         "spec": { "hosts": ["shop.example"], "runs_schema": 2 },
     }))
     .expect("the record is valid");
-    let request = WriteRequest {
-        operation: OperationId::random(),
-        verb: WriteVerb::Put,
-        key: record.key.clone(),
-        base: None,
-        record: Some(record),
-    };
+    let request = WriteRequest::put(record);
     let actor = "fleet".parse().expect("a valid name");
     let mut snapshot = ConfigSnapshot::default();
     let entry = admit_write(&snapshot, &request, &actor, &RecordSpec::newest_schema)
