Look at the whole group only when a request failed

Taking in the end of every request counted the ejected servers of its group, though only a failure may eject one, so the request path did work that grows with the group. Three functions had no caller. Ruled out: doing the same for the look-up of a chosen server's address; it changes what happens to a server that just left and is left for later. Change: the count is made only for failures; the three functions are gone. Behaviour stays. Conclusion: tests of balance, limits, drain, traces, whole path and own answer pass; the time of a choice was not measured again.

--- a/components/balance/src/group.rs
+++ b/components/balance/src/group.rs
@@ -157,7 +157,10 @@
 
     /// Takes in how a request ended that `pick` chose the server for.
     pub fn finish(&mut self, ticket: ServerTicket, sample: &RequestSample, now: Instant) {
-        let may_eject = self.may_eject(now);
+        // Only a failure may eject, and counting the ejected looks at the whole group.
+        let is_failure =
+            matches!(sample.outcome, SampleOutcome::Failed | SampleOutcome::Unreachable);
+        let may_eject = is_failure && self.may_eject(now);
         let view = self.view.clone();
         let Some(server) = self.find(ticket) else {
             return;
@@ -256,15 +259,6 @@
         self.spec.connections as usize
     }
 
-    /// Addresses of servers that take new work.
-    pub fn open_addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| !server.is_leaving(now))
-            .map(|(_, server)| server.place.address)
-            .collect()
-    }
-
     fn add(&self, place: &ServerAddress, is_first_list: bool, now: Instant) -> BackendServer {
         let mut server = BackendServer::new(place.clone(), self.view.median_service, now);
         if is_first_list {
--- a/components/limits/src/gate.rs
+++ b/components/limits/src/gate.rs
@@ -117,11 +117,6 @@
         self.total
     }
 
-    /// Accounts in memory.
-    pub fn known_accounts(&self) -> usize {
-        self.accounts.len()
-    }
-
     /// The account's part of the limit among accounts that have requests in flight. There is
     /// always room for one more account: without it, one alone would fill the entry VM.
     fn fair_share(&self, account: &AccountId, weight: u32) -> f64 {
--- a/components/observe/src/traces.rs
+++ b/components/observe/src/traces.rs
@@ -99,13 +99,6 @@
             span.end();
         }
     }
-
-    /// Adds an attribute.
-    pub fn set(&mut self, key: &'static str, value: String) {
-        if let Some(span) = &mut self.span {
-            span.set_attribute(KeyValue::new(key, value));
-        }
-    }
 }
 
 fn read_context(headers: &HeaderMap) -> Option<SpanContext> {
