--- a/tests/holds_not_run.rs
+++ b/tests/holds_not_run.rs
@@ -119,6 +119,11 @@
         let request =
             CallRequest::post(fleet.daemons[0].callers, "shop.test", "/orders", "one stone");
         let answer = call(&request).await.expect("answered");
+        if bytes == 0 && answer.outcome() == "not-run" {
+            // The connection closed before any byte was written, and the answer says so.
+            assert!(answer.text().contains("unreachable"), "{}", answer.text());
+            continue;
+        }
         // Bytes of the request were sent, so nobody here knows what became of it.
         assert_eq!(answer.outcome(), "unknown", "{bytes} bytes: {}", answer.text());
     }
