--- a/components/balance/src/group.rs
+++ b/components/balance/src/group.rs
@@ -174,6 +174,7 @@
             }
             SampleOutcome::Failed => server.failures.fail(false, may_eject, now),
             SampleOutcome::Unreachable => server.failures.fail(true, may_eject, now),
+            SampleOutcome::Shed => server.failures.fail(false, false, now),
             SampleOutcome::Cancelled => {}
         }
         if let Some(report) = sample.report {
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -7,12 +7,16 @@
 mod eject;
 mod estimate;
 mod group;
+mod placement;
 mod server;
 mod subset;
 mod types;
 
 pub use custom::{CandidateView, CustomChoice};
 pub use group::ServerGroup;
+pub use placement::{
+    LoadFigures, PlacedServer, PlacementEstimate, PlacementGroup, PlacementOptions, RequestShape,
+};
 pub use server::{LoadReport, ServerAddress};
 pub use subset::{choose_preferred, choose_subset};
 pub use types::{
--- /dev/null
+++ b/components/balance/src/placement/group.rs
@@ -0,0 +1,278 @@
+//! The servers of one service, and the choice among them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use tokio::time::Instant;
+
+use model::{FastMap, ServerId, ZoneName};
+
+use crate::placement::estimate::{GroupMeans, PlacementEstimate, RequestShape, estimate};
+use crate::placement::server::{LoadFigures, PlacedServer, ServerState};
+use crate::types::{SampleOutcome, ServerTicket};
+
+/// Servers whose cost is computed for one choice; larger groups are sampled.
+const MAX_COMPARED: usize = 32;
+
+/// Largest relative error added to a cost when candidates are chosen, so that entry VMs with the
+/// same reports don't ask the same servers.
+const CANDIDATE_NOISE: f64 = 0.3;
+
+/// Weight of the newest report in the group's mean load.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Part of a group that may be ejected at a time; beyond it, a bad server is better than none.
+const MAX_EJECTED_PART: f64 = 0.34;
+
+/// What a placement depends on besides the servers.
+#[derive(Debug, Clone)]
+pub struct PlacementOptions {
+    /// This entry VM's availability zone.
+    pub zone: ZoneName,
+    /// What a way to another availability zone and back costs.
+    pub zone_cost: Duration,
+    /// What each KiB that crosses zones costs besides, as the delay that is worth as much.
+    pub zone_cost_per_kib: Duration,
+}
+
+/// The servers of one service.
+#[derive(Debug)]
+pub struct PlacementGroup {
+    options: PlacementOptions,
+    servers: Vec<(u64, ServerState)>,
+    next_serial: u64,
+    means: GroupMeans,
+    /// Smoothed slowness over all reports.
+    usual_slowness: f64,
+}
+
+impl PlacementGroup {
+    /// A group without servers.
+    pub fn new(options: PlacementOptions) -> Self {
+        Self {
+            options,
+            servers: Vec::new(),
+            next_serial: 0,
+            means: GroupMeans { others_per_slot: 0.0 },
+            usual_slowness: 1.0,
+        }
+    }
+
+    /// Sets the servers. What is known of a life of a server stays; another life starts anew.
+    pub fn set_servers(&mut self, listed: &[PlacedServer], now: Instant) {
+        let mut known: FastMap<ServerId, (u64, ServerState)> = self
+            .servers
+            .drain(..)
+            .map(|(serial, state)| (state.listed.id.clone(), (serial, state)))
+            .collect();
+        for server in listed {
+            let same = known.remove(&server.id).and_then(|(serial, mut state)| {
+                state.update(server, now).then_some((serial, state))
+            });
+            let (serial, state) = same.unwrap_or_else(|| {
+                let state = ServerState::new(server.clone(), self.usual_slowness, now);
+                (self.next_serial, state)
+            });
+            self.next_serial = self.next_serial.max(serial + 1);
+            self.servers.push((serial, state));
+        }
+    }
+
+    /// Servers that take new work.
+    pub fn open_count(&self) -> usize {
+        self.servers.iter().filter(|(_, state)| !state.listed.is_leaving).count()
+    }
+
+    /// The `count` servers that look best for a request, best first. Servers in `excluded` are left
+    /// out.
+    pub fn candidates(
+        &self,
+        count: usize,
+        shape: RequestShape,
+        excluded: &[ServerTicket],
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Vec<ServerTicket> {
+        let mut found = self.candidates_among(count, shape, excluded, now, random, |state| {
+            !state.failures.is_ejected(now)
+        });
+        if found.is_empty() {
+            found = self.candidates_among(count, shape, excluded, now, random, |_| true);
+        }
+        found
+    }
+
+    fn candidates_among(
+        &self,
+        count: usize,
+        shape: RequestShape,
+        excluded: &[ServerTicket],
+        now: Instant,
+        random: &mut impl Rng,
+        may_use: impl Fn(&ServerState) -> bool,
+    ) -> Vec<ServerTicket> {
+        let total = self.servers.len();
+        let compared = total.min(MAX_COMPARED);
+        let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared);
+        for offset in 0..compared {
+            let index = match total <= MAX_COMPARED {
+                true => offset,
+                false => random.random_range(0..total),
+            };
+            let (serial, state) = &self.servers[index];
+            let ticket = ServerTicket { index, serial: *serial };
+            let is_out = state.listed.is_leaving || excluded.contains(&ticket) || !may_use(state);
+            if is_out || costs.iter().any(|(_, other)| *other == ticket) {
+                continue;
+            }
+            let cost = self.estimate_state(state, shape, now).cost;
+            costs.push((cost * (1.0 + CANDIDATE_NOISE * random.random::<f64>()), ticket));
+        }
+        costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        costs.into_iter().take(count).map(|(_, ticket)| ticket).collect()
+    }
+
+    /// The best of some servers, with what is expected there.
+    pub fn best(
+        &self,
+        tickets: &[ServerTicket],
+        shape: RequestShape,
+        now: Instant,
+    ) -> Option<(ServerTicket, PlacementEstimate)> {
+        tickets
+            .iter()
+            .filter_map(|ticket| {
+                let state = self.state(*ticket).filter(|state| !state.listed.is_leaving)?;
+                Some((*ticket, self.estimate_state(state, shape, now)))
+            })
+            .min_by(|(_, one), (_, other)| one.cost.total_cmp(&other.cost))
+    }
+
+    /// What is expected of a request at a server.
+    pub fn estimate(
+        &self,
+        ticket: ServerTicket,
+        shape: RequestShape,
+        now: Instant,
+    ) -> Option<PlacementEstimate> {
+        self.state(ticket).map(|state| self.estimate_state(state, shape, now))
+    }
+
+    fn estimate_state(
+        &self,
+        state: &ServerState,
+        shape: RequestShape,
+        now: Instant,
+    ) -> PlacementEstimate {
+        estimate(state, self.means, shape, self.way_seconds(state, shape), now)
+    }
+
+    fn way_seconds(&self, state: &ServerState, shape: RequestShape) -> f64 {
+        if state.listed.zone == self.options.zone {
+            return 0.0;
+        }
+        let kib = shape.bytes as f64 / 1024.0;
+        self.options.zone_cost.as_secs_f64() + self.options.zone_cost_per_kib.as_secs_f64() * kib
+    }
+
+    /// Notes that a request is sent to a server.
+    pub fn begin(&mut self, ticket: ServerTicket) {
+        if let Some(state) = self.state_mut(ticket) {
+            state.own += 1;
+        }
+    }
+
+    /// Notes that a request that `begin` was called for has ended.
+    pub fn finish(
+        &mut self,
+        ticket: ServerTicket,
+        outcome: SampleOutcome,
+        report: Option<LoadFigures>,
+        now: Instant,
+    ) {
+        if let Some(state) = self.state_mut(ticket) {
+            state.own = state.own.saturating_sub(1);
+        }
+        self.note_outcome(ticket, outcome, now);
+        if let Some(figures) = report {
+            self.take_report(ticket, figures, now);
+        }
+    }
+
+    /// Takes in a report of a server.
+    pub fn take_report(&mut self, ticket: ServerTicket, figures: LoadFigures, now: Instant) {
+        let Some(state) = self.state_mut(ticket) else {
+            return;
+        };
+        state.take_report(figures, now);
+        let others = state.report.map_or(0.0, |report| report.others);
+        let per_slot = others / f64::from(state.listed.slots);
+        self.means.others_per_slot += (per_slot - self.means.others_per_slot) * MEAN_WEIGHT;
+        self.usual_slowness += (figures.slowness - self.usual_slowness) * MEAN_WEIGHT;
+    }
+
+    /// Takes in how an exchange with a server ended.
+    pub fn note_outcome(&mut self, ticket: ServerTicket, outcome: SampleOutcome, now: Instant) {
+        let is_failure = matches!(outcome, SampleOutcome::Failed | SampleOutcome::Unreachable);
+        let may_eject = is_failure && self.may_eject(now);
+        let Some(state) = self.state_mut(ticket) else {
+            return;
+        };
+        match outcome {
+            SampleOutcome::Answered => state.failures.succeed(),
+            SampleOutcome::Failed => state.failures.fail(false, may_eject, now),
+            SampleOutcome::Unreachable => state.failures.fail(true, may_eject, now),
+            // A server that sheds is alive; it is only less likely to take the next request.
+            SampleOutcome::Shed => state.failures.fail(false, false, now),
+            SampleOutcome::Cancelled => {}
+        }
+    }
+
+    /// Notes that a server takes no new work, until the list says otherwise.
+    pub fn mark_leaving(&mut self, ticket: ServerTicket) {
+        if let Some(state) = self.state_mut(ticket) {
+            state.listed.is_leaving = true;
+        }
+    }
+
+    /// Whether the last report of a server is younger than `age`.
+    pub fn is_fresh(&self, ticket: ServerTicket, age: Duration, now: Instant) -> bool {
+        let known = self.state(ticket).and_then(|state| state.report_age(now));
+        known.is_some_and(|known| known < age)
+    }
+
+    /// Identity and address of a server, if it is still known.
+    pub fn place(&self, ticket: ServerTicket) -> Option<(&ServerId, SocketAddr)> {
+        self.state(ticket).map(|state| (&state.listed.id, state.listed.address))
+    }
+
+    /// Age of the last report of a server.
+    pub fn report_age(&self, ticket: ServerTicket, now: Instant) -> Option<Duration> {
+        self.state(ticket)?.report_age(now)
+    }
+
+    fn state(&self, ticket: ServerTicket) -> Option<&ServerState> {
+        let index = self.index_of(ticket)?;
+        self.servers.get(index).map(|(_, state)| state)
+    }
+
+    fn state_mut(&mut self, ticket: ServerTicket) -> Option<&mut ServerState> {
+        let index = self.index_of(ticket)?;
+        self.servers.get_mut(index).map(|(_, state)| state)
+    }
+
+    fn index_of(&self, ticket: ServerTicket) -> Option<usize> {
+        match self.servers.get(ticket.index) {
+            Some((serial, _)) if *serial == ticket.serial => Some(ticket.index),
+            // The list has changed since the ticket was made.
+            _ => self.servers.iter().position(|(serial, _)| *serial == ticket.serial),
+        }
+    }
+
+    fn may_eject(&self, now: Instant) -> bool {
+        let ejected =
+            self.servers.iter().filter(|(_, state)| state.failures.is_ejected(now)).count();
+        (ejected + 1) as f64 <= self.servers.len() as f64 * MAX_EJECTED_PART
+    }
+}
--- a/components/balance/src/types.rs
+++ b/components/balance/src/types.rs
@@ -103,6 +103,8 @@
     Failed,
     /// No connection could be opened.
     Unreachable,
+    /// The server answered that it had no room and did not begin.
+    Shed,
     /// The caller went away, or another try answered first.
     Cancelled,
 }
--- a/components/board/src/blackboard.rs
+++ b/components/board/src/blackboard.rs
@@ -9,8 +9,8 @@
 
 use members::{HeldSlot, MemberEntry};
 use model::{RevisionNumber, ServerId, VmId};
-use platform::ServerEntry;
 use records::{ConfigSnapshot, RoutingTable};
+use store::ServerEntry;
 
 use crate::clock::SharedInstant;
 
--- /dev/null
+++ b/components/board/src/hosted.rs
@@ -0,0 +1,60 @@
+//! What a hosted entry VM's controllers write and its request path reads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwapOption;
+use model::RevisionNumber;
+use routes::RouteTable;
+
+/// The blackboard of an entry VM whose configuration comes from the hosting platform.
+#[derive(Debug, Default)]
+pub struct HostedBoard {
+    routes: ArcSwapOption<RouteTable>,
+    /// Whether a first list of backend servers has come.
+    has_servers: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl HostedBoard {
+    /// The configuration in force, once there is one.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.load_full()
+    }
+
+    /// Puts a configuration in force; tells whether it is newer than the one before. Only the task
+    /// that follows the platform calls this.
+    pub fn set_routes(&self, table: RouteTable) -> bool {
+        if self.version().is_some_and(|version| table.version <= version) {
+            return false;
+        }
+        self.routes.store(Some(Arc::new(table)));
+        true
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<RevisionNumber> {
+        self.routes.load().as_ref().map(|table| table.version)
+    }
+
+    /// Notes that the first list of backend servers has come.
+    pub fn note_servers(&self) {
+        self.has_servers.store(true, Ordering::Release);
+    }
+
+    /// Notes that shutdown has begun.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Whether shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Whether this entry VM should get new connections.
+    pub fn is_ready(&self) -> bool {
+        let knows_enough = self.has_servers.load(Ordering::Acquire) && self.routes.load().is_some();
+        knows_enough && !self.is_draining()
+    }
+}
--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod blackboard;
 mod clock;
+mod hosted;
 
 pub use blackboard::{ActiveConfig, Blackboard, DrainNotice, FleetView};
 pub use clock::SharedInstant;
+pub use hosted::HostedBoard;
--- a/components/claims/src/batcher.rs
+++ b/components/claims/src/batcher.rs
@@ -8,7 +8,7 @@
 
 use limits::{FairQueue, TokenBucket};
 use model::{AccountId, FastSet};
-use platform::{CommitOutcome, CommitRequest, RowCondition, RowWrite};
+use store::{CommitOutcome, CommitRequest, RowCondition, RowWrite};
 
 use crate::row::ClaimRow;
 
--- a/components/claims/src/row.rs
+++ b/components/claims/src/row.rs
@@ -9,7 +9,7 @@
 use sha2::{Digest, Sha256};
 
 use model::{AccountId, AttemptId, RecordName, VmId};
-use platform::TableRow;
+use store::TableRow;
 
 /// Prefix of the claim rows.
 pub const CLAIM_PREFIX: &str = "claim/";
--- a/components/claims/tests/claims.rs
+++ b/components/claims/tests/claims.rs
@@ -7,8 +7,8 @@
     RequestFingerprint, RowStatus, WorkOutcome, classify_row, read_claim,
 };
 use model::{AttemptId, FastMap, VmId};
-use platform::{CommitOutcome, CommitRequest, MemoryTable, StoreError};
 use proptest::prelude::*;
+use store::{CommitOutcome, CommitRequest, MemoryTable, StoreError};
 use testkit::history_config;
 use tokio::time::Instant;
 
--- a/components/daemon/src/control/catch_up.rs
+++ b/components/daemon/src/control/catch_up.rs
@@ -1,11 +1,11 @@
 //! Reads what the platform's table holds beyond a known revision.
 
 use model::RevisionNumber;
-use platform::{ScanRequest, StoreError, TableClient};
 use records::{
     CHANGE_PREFIX, ChangeEntry, ConfigSnapshot, RECORD_PREFIX, REVISION_KEY, change_key,
     read_change, read_record, read_revision,
 };
+use store::{ScanRequest, StoreError, TableClient};
 
 /// Change rows in one answer.
 const PAGE_CHANGES: usize = 200;
--- a/components/daemon/src/control/config.rs
+++ b/components/daemon/src/control/config.rs
@@ -12,8 +12,8 @@
 use model::{FastMap, RevisionNumber, VmId, jittered};
 use observe::{DaemonMetrics, Logger, error, info, warn};
 use peers::{PeerEcho, PeerEvent, PeerMessage, PeerOutbox};
-use platform::{StoreError, TableClient};
 use records::{ApplyOutcome, ChangeEntry, ConfigSnapshot, RoutingTable};
+use store::{StoreError, TableClient};
 
 use crate::control::catch_up::{CatchUpNews, catch_up};
 use crate::control::peering::listed_entry_vms;
--- a/components/daemon/src/control/fleet.rs
+++ b/components/daemon/src/control/fleet.rs
@@ -10,7 +10,7 @@
 use members::{SLOT_PREFIX, SlotLease};
 use model::jittered;
 use observe::{DaemonMetrics, Logger, info, warn};
-use platform::{CommitOutcome, StoreError, TableClient, TableRow};
+use store::{CommitOutcome, StoreError, TableClient, TableRow};
 
 /// Mean time between two looks at the slots.
 const SCAN_INTERVAL: Duration = Duration::from_secs(5);
--- a/components/daemon/src/control/listing.rs
+++ b/components/daemon/src/control/listing.rs
@@ -8,7 +8,7 @@
 use board::Blackboard;
 use model::jittered;
 use observe::{Logger, warn};
-use platform::ListClient;
+use store::ListClient;
 
 /// Mean time between two reads of the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
--- a/components/daemon/src/control/sweeping.rs
+++ b/components/daemon/src/control/sweeping.rs
@@ -9,7 +9,7 @@
 use claims::{CLAIM_PREFIX, is_past_retention, read_claim};
 use model::VmId;
 use observe::{DaemonMetrics, Logger, info};
-use platform::{CommitRequest, RowCondition, RowWrite, ScanRequest, TableClient, TableRow};
+use store::{CommitRequest, RowCondition, RowWrite, ScanRequest, TableClient, TableRow};
 
 /// How long a claim answers repeated requests.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
--- a/components/daemon/src/dev.rs
+++ b/components/daemon/src/dev.rs
@@ -17,9 +17,9 @@
 use tokio::net::TcpListener;
 
 use model::{AccountId, ServerId};
-use platform::{ListClient, MemoryTable, ServerEntry, ServerState, TableClient};
 use records::{ConfigSnapshot, WriteRequest, admit_write, hash_key, plan_write};
 use settings::DaemonSettings;
+use store::{ListClient, MemoryTable, ServerEntry, ServerState, TableClient};
 
 use crate::run::{DaemonFault, PlatformClients, run_with};
 
@@ -144,8 +144,7 @@
         let request = WriteRequest::put(record);
         let entry = admit_write(&snapshot, &request, &fleet, &model::RecordSpec::newest_schema)
             .expect("sample records are valid");
-        if let platform::CommitOutcome::Done(version) =
-            table.commit(&plan_write(&entry, revision_row))
+        if let store::CommitOutcome::Done(version) = table.commit(&plan_write(&entry, revision_row))
         {
             revision_row = Some(version);
         }
--- /dev/null
+++ b/components/daemon/src/hosted/mod.rs
@@ -0,0 +1,10 @@
+//! The daemon on a hosting platform: one thread, no control of its own, nothing stored.
+//!
+//! Configuration and backend servers come from the platform's store; everything else is decided
+//! here from what this entry VM sees.
+
+mod following;
+mod readiness;
+mod run;
+
+pub use run::run_hosted;
--- /dev/null
+++ b/components/daemon/src/hosted/readiness.rs
@@ -0,0 +1,66 @@
+//! Tells the platform whether this VM takes connections, and readers its metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::time::{Duration, sleep};
+
+use board::HostedBoard;
+use observe::{HostedMetrics, Logger, warn};
+
+/// Path of the metrics; every other path asks for readiness.
+const METRICS_PATH: &str = "/metrics";
+
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the listener tells.
+#[derive(Clone)]
+pub(crate) struct ReadinessParts {
+    pub(crate) board: Arc<HostedBoard>,
+    pub(crate) metrics: HostedMetrics,
+    pub(crate) log: Logger,
+}
+
+/// Answers until it is dropped.
+pub(crate) async fn serve_readiness(listener: TcpListener, parts: ReadinessParts) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let parts = parts.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let answer = answer(&parts, &request);
+                        async move { Ok::<_, Infallible>(answer) }
+                    });
+                    // An asker that goes away asks again.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+            Err(error) => {
+                warn!(parts.log, "readiness: accept failed"; "reason" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn answer(parts: &ReadinessParts, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() == METRICS_PATH {
+        return Response::new(Full::new(Bytes::from(parts.metrics.render())));
+    }
+    let mut response = Response::new(Full::default());
+    if !parts.board.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/components/daemon/src/hosted/run.rs
@@ -0,0 +1,192 @@
+//! Starts the parts of a hosted entry VM and ends them in order.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Duration, Instant, interval, sleep, timeout};
+
+use balance::PlacementOptions;
+use board::HostedBoard;
+use limits::ArrivalLimits;
+use observe::{BatchedLogs, FLUSH_INTERVAL, HostedMetrics, Logger, info, level_of, warn};
+use platform::PlatformStore;
+use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices};
+use settings::{HostedSettings, SettingsFault, load_hosted_settings};
+
+use crate::hosted::following::{FollowingParts, follow_config, follow_servers};
+use crate::hosted::readiness::{ReadinessParts, serve_readiness};
+use crate::run::{DaemonFault, listen, start_fault};
+use crate::shutdown::StopSignals;
+
+/// Longest time for an answer of the store, beyond what it was asked to wait.
+const STORE_CALL_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time from SIGTERM until the platform sends no new connections: it asks once a second and takes
+/// a VM out after two misses.
+const NOTICE_TIME: Duration = Duration::from_millis(3_000);
+
+/// Time before the end of the grace time at which the process ends in any case.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time between two looks at the requests in flight while shutting down.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Time between two looks for connections that were idle for too long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Delay that is worth as much as a way to another availability zone and back: 0.5 ms each way.
+const ZONE_COST: Duration = Duration::from_millis(1);
+
+/// Delay that is worth as much as a KiB between zones, by the users' prices: 5 KB at 9,000 a GB
+/// are a 20th of a request's worth, as are 10 ms of a target of 200 ms.
+const ZONE_COST_PER_KIB: Duration = Duration::from_micros(2_000);
+
+/// Entry VMs over which the slack of the retry budget is divided at least. The users run 14 to 129,
+/// and the larger fleets have three times the slack.
+const BUDGET_SHARES: f64 = 30.0;
+
+/// Largest request body that is kept in memory whole.
+const KEPT_BODY_BYTES: u64 = 1 << 20;
+
+/// Longest pause within a request body.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+
+/// Runs a hosted entry VM until a signal ends it.
+pub fn run_hosted(path: &Path, settings: HostedSettings) -> Result<(), DaemonFault> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| start_fault("runtime", &error))?;
+    let logs = BatchedLogs::start(level_of(settings.log_level))
+        .map_err(|error| start_fault("log thread", &error))?;
+    let end = runtime.block_on(run(path.to_owned(), settings, logs.clone()));
+    logs.flush();
+    // The writing thread gets time for the last lines.
+    std::thread::sleep(DRAIN_LOOK);
+    end
+}
+
+async fn run(
+    path: PathBuf,
+    settings: HostedSettings,
+    logs: BatchedLogs,
+) -> Result<(), DaemonFault> {
+    let log = logs.logger();
+    let mut signals = StopSignals::new().map_err(|error| start_fault("signals", &error))?;
+    let board = Arc::new(HostedBoard::default());
+    let metrics = HostedMetrics::new();
+    let services = Arc::new(new_services(&settings));
+    let mut background = JoinSet::new();
+    background.spawn(flush_logs(logs));
+    let callers = listen(settings.callers, "callers").await?;
+    let readiness = listen(settings.readiness, "readiness").await?;
+    background.spawn(serve_readiness(
+        readiness,
+        ReadinessParts { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() },
+    ));
+    let parts = FollowingParts {
+        store: Arc::new(PlatformStore::new(settings.store, STORE_CALL_TIME)),
+        board: Arc::clone(&board),
+        services: Arc::clone(&services),
+        metrics: metrics.clone(),
+        log: log.clone(),
+    };
+    background.spawn(follow_config(parts.clone()));
+    background.spawn(follow_servers(parts));
+    background.spawn(sweep(Arc::clone(&services)));
+    background.spawn(follow_settings(path, settings.clone(), log.clone()));
+    let handler = Arc::new(HostedHandler::new(
+        Arc::clone(&board),
+        services,
+        platform::wire_interface(),
+        metrics,
+        HostedOptions { kept_body_bytes: KEPT_BODY_BYTES, body_pause: BODY_PAUSE },
+        log.clone(),
+    ));
+    let (stop, stopped) = watch::channel(false);
+    let listener = HostedListener::new(callers, Arc::clone(&handler), log.clone());
+    let serving = tokio::spawn(listener.serve(stopped));
+    info!(log, "daemon: started"; "vm" => &*settings.vm, "zone" => %settings.zone,
+        "callers" => %settings.callers, "store" => %settings.store);
+    signals.wait().await;
+    let ends_at = Instant::now() + settings.grace().saturating_sub(GRACE_MARGIN);
+    info!(log, "daemon: shutdown begins"; "in_flight" => handler.in_flight());
+    board.begin_drain();
+    drain(&handler, ends_at).await;
+    // Without a receiver the listener has ended already.
+    let _ = stop.send(true);
+    let rest = ends_at.saturating_duration_since(Instant::now());
+    let is_whole = timeout(rest, serving).await.is_ok();
+    info!(log, "daemon: stopped"; "in_flight" => handler.in_flight(), "whole" => is_whole);
+    Ok(())
+}
+
+/// Serves on until the platform has noticed and nothing is in flight, or the time is over.
+async fn drain(handler: &HostedHandler, ends_at: Instant) {
+    sleep(NOTICE_TIME).await;
+    while handler.in_flight() > 0 && Instant::now() < ends_at {
+        sleep(DRAIN_LOOK).await;
+    }
+}
+
+fn new_services(settings: &HostedSettings) -> HostedServices {
+    let placement = PlacementOptions {
+        zone: settings.zone.clone(),
+        zone_cost: ZONE_COST,
+        zone_cost_per_kib: ZONE_COST_PER_KIB,
+    };
+    let retries = settings.retries;
+    let limits = ArrivalLimits {
+        ratio: retries.ratio,
+        slack: retries.slack / BUDGET_SHARES,
+        window: Duration::from_secs_f64(retries.window_s),
+    };
+    HostedServices::new(placement, limits)
+}
+
+async fn flush_logs(logs: BatchedLogs) {
+    let mut ticks = interval(FLUSH_INTERVAL);
+    loop {
+        ticks.tick().await;
+        logs.flush();
+    }
+}
+
+async fn sweep(services: Arc<HostedServices>) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        services.sweep(Instant::now());
+    }
+}
+
+/// Reads the settings again on SIGHUP. Addresses and budgets hold until the next start; a change of
+/// them is only told.
+async fn follow_settings(path: PathBuf, settings: HostedSettings, log: Logger) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            warn!(log, "settings: SIGHUP can't be followed"; "reason" => %error);
+            return;
+        }
+    };
+    while hangups.recv().await.is_some() {
+        note_reload(load_hosted_settings(&path), &settings, &log);
+    }
+}
+
+fn note_reload(
+    loaded: Result<HostedSettings, SettingsFault>,
+    settings: &HostedSettings,
+    log: &Logger,
+) {
+    match loaded {
+        Ok(loaded) if loaded == *settings => info!(log, "settings: read again, nothing changed"),
+        Ok(_) => warn!(log, "settings: changed; they hold from the next start"),
+        Err(fault) => warn!(log, "settings: can't be read again"; "reason" => %fault),
+    }
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod control;
 mod dev;
+mod hosted;
 mod operators;
 mod run;
 mod shutdown;
 
 pub use dev::run_dev;
+pub use hosted::run_hosted;
 pub use run::run_daemon;
--- a/components/daemon/src/operators/accept.rs
+++ b/components/daemon/src/operators/accept.rs
@@ -10,11 +10,11 @@
 use members::newest_readable;
 use model::{AccountId, OperationId, RevisionNumber, VmId, jittered};
 use observe::{DaemonMetrics, Logger, info};
-use platform::{CommitOutcome, ListClient, StoreError, TableClient};
 use records::{
     ChangeEntry, ConfigSnapshot, OperationRow, WriteRefusal, WriteRequest, admit_write,
     operation_key, plan_write, read_operation,
 };
+use store::{CommitOutcome, ListClient, StoreError, TableClient};
 
 use crate::control::{ConfigMessage, PropagationView, catch_up};
 
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -14,11 +14,11 @@
 use balance::BalanceOptions;
 use board::Blackboard;
 use observe::{DaemonMetrics, Logger, TraceExporter, error, info, start_logs};
-use platform::{ListClient, TableClient};
 use proxy::{
     CallerListener, ClaimCoordinator, ListenerLimits, RequestHandler, ServiceTable, run_claims,
 };
 use settings::DaemonSettings;
+use store::{ListClient, TableClient};
 
 use crate::control::ControlThread;
 use crate::shutdown::StopSignals;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Everything here is a plain data structure: the clock is passed in, and nothing does I/O.
 
+mod arrivals;
 mod bucket;
 mod gate;
 mod queue;
 mod retry;
 
+pub use arrivals::{ArrivalBudget, ArrivalLimits};
 pub use bucket::TokenBucket;
 pub use gate::{AdmissionGate, AdmissionOutcome, AdmissionRefusal};
 pub use queue::{FairQueue, QueueFull};
--- a/components/members/src/lease.rs
+++ b/components/members/src/lease.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use model::{FastMap, VmId};
-use platform::{CommitOutcome, CommitRequest, RowCondition, RowWrite, TableRow};
+use store::{CommitOutcome, CommitRequest, RowCondition, RowWrite, TableRow};
 
 use crate::row::{MemberEntry, MemberRow, slot_key};
 
--- a/components/members/tests/leases.rs
+++ b/components/members/tests/leases.rs
@@ -4,10 +4,10 @@
 
 use members::{LeaseTimes, MemberRow, SLOT_PREFIX, SlotLease, probe_parts};
 use model::ProbeRate;
-use platform::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, StoreError};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use store::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, StoreError};
 use testkit::history_config;
 use tokio::time::Instant;
 
--- /dev/null
+++ b/components/observe/src/hosted.rs
@@ -0,0 +1,88 @@
+//! Metrics of a hosted entry VM.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::metrics::RequestOutcome;
+
+/// All metrics of a hosted entry VM.
+#[derive(Debug, Clone)]
+pub struct HostedMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    seconds: Histogram,
+    /// Probes sent to backend servers.
+    pub probes: IntCounter,
+    /// Calls to the platform's store.
+    pub store_calls: IntCounter,
+    /// Calls to the platform's store that failed.
+    pub store_failures: IntCounter,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Backend servers known.
+    pub servers: IntGauge,
+}
+
+impl Default for HostedMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HostedMetrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("mustardrail_requests_total", "Requests by outcome."),
+            &["outcome"],
+        )
+        .expect("metric definitions are valid");
+        let seconds = Histogram::with_opts(
+            HistogramOpts::new("mustardrail_request_seconds", "Time to the head of the answer.")
+                .buckets(prometheus::exponential_buckets(0.005, 1.6, 16).expect("valid buckets")),
+        )
+        .expect("metric definitions are valid");
+        registry.register(Box::new(requests.clone())).expect("metric names are unique");
+        registry.register(Box::new(seconds.clone())).expect("metric names are unique");
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("metric definitions are valid");
+            registry.register(Box::new(counter.clone())).expect("metric names are unique");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("metric definitions are valid");
+            registry.register(Box::new(gauge.clone())).expect("metric names are unique");
+            gauge
+        };
+        Self {
+            probes: counter("mustardrail_probes_total", "Probes sent."),
+            store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
+            store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
+            version: gauge("mustardrail_config_version", "Configuration version in force."),
+            servers: gauge("mustardrail_servers", "Backend servers known."),
+            requests,
+            seconds,
+            registry,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, outcome: RequestOutcome, elapsed: Duration) {
+        self.requests.with_label_values(&[outcome.label()]).inc();
+        self.seconds.observe(elapsed.as_secs_f64());
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# metrics could not be written: {error}\n"),
+        }
+    }
+}
--- a/components/observe/src/logs.rs
+++ b/components/observe/src/logs.rs
@@ -11,12 +11,7 @@
 
 /// Starts writing logs to standard error.
 pub fn start_logs(level: LogLevel, format: LogFormat) -> Logger {
-    let level = match level {
-        LogLevel::Debug => Level::Debug,
-        LogLevel::Info => Level::Info,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Error => Level::Error,
-    };
+    let level = level_of(level);
     match format {
         LogFormat::Json => {
             let json = slog_json::Json::default(std::io::stderr());
@@ -29,6 +24,16 @@
     }
 }
 
+/// The level of log records that a setting means.
+pub fn level_of(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Error => Level::Error,
+    }
+}
+
 /// A logger for one part of the program, such as `config` or `peers`.
 pub fn part_logger(root: &Logger, part: &'static str) -> Logger {
     root.new(o!("part" => part))
--- a/components/observe/src/metrics.rs
+++ b/components/observe/src/metrics.rs
@@ -19,7 +19,7 @@
 }
 
 impl RequestOutcome {
-    fn label(self) -> &'static str {
+    pub(crate) fn label(self) -> &'static str {
         match self {
             Self::Answered => "answered",
             Self::NotRun => "not-run",
--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -8,49 +8,53 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-use crate::exchange::ExchangeLease;
-use crate::handler::AdmissionPermit;
 use crate::request_body::BodyError;
 
 /// The body of an answer to a caller.
 pub(crate) type AnswerStream = UnsyncBoxBody<Bytes, BodyError>;
 
+/// How the body of an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerEnd {
+    /// All of it was read.
+    Whole,
+    /// The server broke off or was too late.
+    Broken,
+}
+
+/// Ends an exchange. Dropped uncalled, it was cancelled.
+type EndFn = Box<dyn FnOnce(AnswerEnd) + Send>;
+
 /// A backend server's answer body. It ends the exchange: whole, broken off, or cancelled by drop.
-pub(crate) struct AnswerBody {
+pub(crate) struct AnswerBody<P> {
     incoming: Incoming,
     deadline: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
     /// Invariant: `None` only after the exchange ended.
-    lease: Option<ExchangeLease>,
+    end: Option<EndFn>,
     /// Counts the request as in flight until the body is dropped.
-    _permit: AdmissionPermit,
+    _permit: P,
 }
 
-impl AnswerBody {
+impl<P> AnswerBody<P> {
     /// Wraps a body that must end before `deadline`.
     pub(crate) fn new(
         incoming: Incoming,
         deadline: Instant,
-        lease: ExchangeLease,
-        permit: AdmissionPermit,
+        end: impl FnOnce(AnswerEnd) + Send + 'static,
+        permit: P,
     ) -> Self {
-        let lease = Some(lease);
-        let mut body = Self { incoming, deadline, sleep: None, lease, _permit: permit };
+        let end: Option<EndFn> = Some(Box::new(end));
+        let mut body = Self { incoming, deadline, sleep: None, end, _permit: permit };
         if body.incoming.is_end_stream() {
-            body.end_whole();
+            body.end(AnswerEnd::Whole);
         }
         body
     }
 
-    fn end_whole(&mut self) {
-        if let Some(lease) = self.lease.take() {
-            lease.end_whole();
-        }
-    }
-
-    fn end_broken(&mut self) {
-        if let Some(lease) = self.lease.take() {
-            lease.end_broken();
+    fn end(&mut self, how: AnswerEnd) {
+        if let Some(end) = self.end.take() {
+            end(how);
         }
     }
 
@@ -61,7 +65,7 @@
     }
 }
 
-impl Body for AnswerBody {
+impl<P: Unpin> Body for AnswerBody<P> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -72,23 +76,23 @@
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
         if polled.is_pending() {
             ready!(self.poll_deadline(context));
-            self.end_broken();
+            self.end(AnswerEnd::Broken);
             return Poll::Ready(Some(Err(BodyError::Deadline)));
         }
         match ready!(polled) {
             None => {
-                self.end_whole();
+                self.end(AnswerEnd::Whole);
                 Poll::Ready(None)
             }
             Some(Err(_)) => {
                 // An error resets the caller's connection or stream, so that a truncated answer
                 // never looks whole.
-                self.end_broken();
+                self.end(AnswerEnd::Broken);
                 Poll::Ready(Some(Err(BodyError::ServerBroke)))
             }
             Some(Ok(frame)) => {
                 if self.incoming.is_end_stream() {
-                    self.end_whole();
+                    self.end(AnswerEnd::Whole);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/components/proxy/src/claiming.rs
+++ b/components/proxy/src/claiming.rs
@@ -14,7 +14,7 @@
 };
 use model::{AccountId, AttemptId, VmId};
 use observe::DaemonMetrics;
-use platform::{CommitRequest, TableClient};
+use store::{CommitRequest, TableClient};
 
 use crate::clock::wall_clock_ms;
 use crate::refusal::RequestRefusal;
--- a/components/proxy/src/handler.rs
+++ b/components/proxy/src/handler.rs
@@ -20,7 +20,7 @@
 use observe::{DaemonMetrics, RequestOutcome, TraceExporter};
 use records::RoutePlan;
 
-use crate::answer::{AnswerBody, AnswerStream};
+use crate::answer::{AnswerBody, AnswerEnd, AnswerStream};
 use crate::claiming::{ClaimCoordinator, ClaimOutcome, ClaimRequest, HeldClaim};
 use crate::dispatch::{DispatchParts, RequestDispatch, RequestHead};
 use crate::exchange::ServerAnswer;
@@ -33,6 +33,9 @@
 use crate::request_body::{BodyError, BodyLimits, RequestBody, deadline_after};
 use crate::service::ServiceTable;
 
+/// Largest request body that is kept whole to be sent again.
+const MAX_KEPT_BYTES: u64 = 64 << 10;
+
 /// Largest answer body that is recorded for repeated requests.
 const MAX_RECORDED_BYTES: usize = 16 << 10;
 
@@ -89,7 +92,11 @@
             services,
             coordinator,
             gate: Mutex::new(AdmissionGate::new(limits.in_flight)),
-            body_limits: BodyLimits { pause: limits.body_pause(), bytes: limits.body_bytes },
+            body_limits: BodyLimits {
+                pause: limits.body_pause(),
+                bytes: limits.body_bytes,
+                kept: MAX_KEPT_BYTES,
+            },
         }
     }
 
@@ -150,7 +157,7 @@
             return Err(RequestRefusal::ConfigStale);
         }
         let host = read_host(&request).map_err(RequestRefusal::Malformed)?;
-        check_form(&request)?;
+        check_form(&request).map_err(RequestRefusal::Malformed)?;
         let config = self.parts.board.config();
         let Some(route) = config.routing.find(&host, request.uri().path()).cloned() else {
             return Err(RequestRefusal::NoRoute);
@@ -284,12 +291,12 @@
 }
 
 /// Refuses requests that can't be forwarded without changing their meaning.
-fn check_form(request: &Request<()>) -> Result<(), RequestRefusal> {
+pub(crate) fn check_form(request: &Request<()>) -> Result<(), &'static str> {
     if has_dot_segments(request.uri().path()) {
-        return Err(RequestRefusal::Malformed("its path has dot segments"));
+        return Err("its path has dot segments");
     }
     if request.method() == Method::CONNECT || request.headers().contains_key("upgrade") {
-        return Err(RequestRefusal::Malformed("tunnels and upgrades are not supported"));
+        return Err("tunnels and upgrades are not supported");
     }
     Ok(())
 }
@@ -324,17 +331,24 @@
     answer: ServerAnswer,
     deadline: Instant,
     permit: AdmissionPermit,
-) -> (hyper::http::response::Parts, AnswerBody) {
+) -> (hyper::http::response::Parts, AnswerBody<AdmissionPermit>) {
     let (mut parts, incoming) = answer.response.into_parts();
     remove_hop_by_hop(&mut parts.headers);
     // Only this proxy's own word counts in this field.
     parts.headers.remove(OUTCOME_HEADER);
     parts.headers.insert(OUTCOME_HEADER, HeaderValue::from_static("ran"));
-    (parts, AnswerBody::new(incoming, deadline, answer.lease, permit))
+    let lease = answer.lease;
+    let end = move |how| match how {
+        AnswerEnd::Whole => lease.end_whole(),
+        AnswerEnd::Broken => lease.end_broken(),
+    };
+    (parts, AnswerBody::new(incoming, deadline, end, permit))
 }
 
 /// The beginning of an answer's body, and whether that is all of it.
-async fn read_recordable(body: &mut AnswerBody) -> Result<(Bytes, bool), BodyError> {
+async fn read_recordable(
+    body: &mut AnswerBody<AdmissionPermit>,
+) -> Result<(Bytes, bool), BodyError> {
     let mut kept = BytesMut::new();
     while !body.is_end_stream() {
         if kept.len() > MAX_RECORDED_BYTES {
--- /dev/null
+++ b/components/proxy/src/hosted/memory.rs
@@ -0,0 +1,125 @@
+//! What is learned of each route: how long its requests take, and how its parts have been served.
+
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use rand::RngExt;
+
+use model::FastMap;
+use routes::{HostedRoute, RoutePart, ServiceName};
+
+/// Usual time of a request relative to its route's target, before anything was measured.
+const FIRST_WORK_PART: f64 = 0.33;
+
+/// Range of the usual time relative to the target.
+const WORK_RANGE: (f64, f64) = (0.05, 1.0);
+
+/// The usual time of work is this quantile of the measured times: what is above waited or met a
+/// slow machine.
+const WORK_QUANTILE: f64 = 0.35;
+
+/// Step by which a measured time moves the quantile, relative to it.
+const WORK_STEP: f64 = 0.05;
+
+/// Memory of all routes.
+#[derive(Default)]
+pub(crate) struct RouteMemories {
+    routes: Mutex<FastMap<Box<str>, RouteMemory>>,
+}
+
+struct RouteMemory {
+    /// Usual time of a request, in seconds.
+    work: f64,
+    /// Longest deadline that a caller sent: that of a first attempt.
+    longest_deadline: Duration,
+    parts: Vec<PartCredit>,
+}
+
+struct PartCredit {
+    part: RoutePart,
+    /// Invariant: the sum over the parts of a route stays the same.
+    credit: f64,
+}
+
+impl RouteMemories {
+    /// Usual time of a request on the route.
+    pub(crate) fn work(&self, route: &HostedRoute) -> Duration {
+        Duration::from_secs_f64(self.with(route, |memory| memory.work))
+    }
+
+    /// Takes in the time that a server took.
+    pub(crate) fn learn_work(&self, route: &HostedRoute, elapsed: Duration) {
+        let target = route.target.as_secs_f64();
+        self.with(route, |memory| {
+            let step = match elapsed.as_secs_f64() > memory.work {
+                true => WORK_QUANTILE,
+                false => WORK_QUANTILE - 1.0,
+            };
+            let work = memory.work * (1.0 + WORK_STEP * step);
+            memory.work = work.clamp(target * WORK_RANGE.0, target * WORK_RANGE.1);
+        });
+    }
+
+    /// How long the caller has been at it before this attempt, as far as its deadline tells.
+    pub(crate) fn time_spent(&self, route: &HostedRoute, deadline: Duration) -> Duration {
+        self.with(route, |memory| {
+            memory.longest_deadline = memory.longest_deadline.max(deadline);
+            memory.longest_deadline - deadline
+        })
+    }
+
+    /// The service for the next request, so that each part gets its share over few requests.
+    pub(crate) fn next_service(&self, route: &HostedRoute) -> ServiceName {
+        if let [only] = &route.parts[..] {
+            return only.service.clone();
+        }
+        self.with(route, |memory| {
+            if !memory.parts.iter().map(|credit| &credit.part).eq(&route.parts) {
+                memory.parts = first_credits(&route.parts);
+            }
+            choose_part(&mut memory.parts)
+        })
+    }
+
+    fn with<T>(&self, route: &HostedRoute, change: impl FnOnce(&mut RouteMemory) -> T) -> T {
+        let mut routes = self.lock();
+        if let Some(memory) = routes.get_mut(&route.name) {
+            return change(memory);
+        }
+        let memory = routes.entry(route.name.clone()).or_insert_with(|| RouteMemory {
+            work: route.target.as_secs_f64() * FIRST_WORK_PART,
+            longest_deadline: Duration::ZERO,
+            parts: Vec::new(),
+        });
+        change(memory)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<Box<str>, RouteMemory>> {
+        self.routes.lock().expect("memory lock is never poisoned")
+    }
+}
+
+/// Random credits, so that entry VMs that see few requests each don't all begin with one part.
+fn first_credits(parts: &[RoutePart]) -> Vec<PartCredit> {
+    let total: f64 = parts.iter().map(|part| f64::from(part.weight)).sum();
+    parts
+        .iter()
+        .map(|part| PartCredit {
+            part: part.clone(),
+            credit: rand::rng().random_range(0.0..total.max(1.0)),
+        })
+        .collect()
+}
+
+fn choose_part(parts: &mut [PartCredit]) -> ServiceName {
+    let total: f64 = parts.iter().map(|credit| f64::from(credit.part.weight)).sum();
+    let mut best = 0;
+    for index in 0..parts.len() {
+        parts[index].credit += f64::from(parts[index].part.weight);
+        if parts[index].credit > parts[best].credit {
+            best = index;
+        }
+    }
+    parts[best].credit -= total;
+    parts[best].part.service.clone()
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod handler;
 mod headers;
+mod hosted;
 mod listener;
 mod pool;
 mod prefixed;
@@ -19,6 +20,7 @@
 
 pub use claiming::{ClaimCoordinator, run_claims};
 pub use handler::RequestHandler;
+pub use hosted::{HostedHandler, HostedListener, HostedOptions, HostedServices};
 pub use listener::{CallerListener, ListenerLimits};
 pub use probe::{ProbeOrder, run_probe};
 pub use refusal::{OUTCOME_HEADER, RequestRefusal, RunOutcome};
--- a/components/proxy/src/listener.rs
+++ b/components/proxy/src/listener.rs
@@ -113,7 +113,8 @@
     }
 }
 
-async fn stopped(stop: &mut watch::Receiver<bool>) {
+/// Waits until a listener is told to stop.
+pub(crate) async fn stopped(stop: &mut watch::Receiver<bool>) {
     // A sender that is gone means stop too.
     let _ = stop.wait_for(|stop| *stop).await;
 }
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -31,6 +31,12 @@
 /// between the two ends may have lost track of an older one.
 const TRUSTED_SILENCE: Duration = Duration::from_secs(1);
 
+/// Time before the end of a server's keep-alive time at which a connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time after an answer in which a faulty server may still send a second one.
+const SURPLUS_ANSWER_TIME: Duration = Duration::from_secs(2);
+
 /// The body of a request to a backend server.
 pub(crate) type SendBody = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -40,6 +46,10 @@
     address: SocketAddr,
     received_at: Arc<SharedInstant>,
     idle_since: Instant,
+    /// How long it may stay idle.
+    max_idle: Duration,
+    /// When a request on it was last answered; probes don't count.
+    answered_at: Option<Instant>,
     task: AbortHandle,
     /// Connections open to this address, this one included.
     open: Arc<AtomicUsize>,
@@ -60,14 +70,24 @@
     Any,
     /// Only one that received a byte a moment ago.
     RecentlyHeard,
+    /// Only one that received a byte a moment ago, and on which no request was answered lately: a
+    /// second answer to that one could still come.
+    Quiet,
     /// None; a new one must be opened.
     New,
 }
 
 /// Connections to the backend servers of a service.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
     servers: Mutex<FastMap<SocketAddr, ServerConnections>>,
+    /// Idle connections kept to one server.
+    idle_limit: usize,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::with_idle_limit(usize::MAX)
+    }
 }
 
 #[derive(Default)]
@@ -79,6 +99,11 @@
 }
 
 impl ConnectionPool {
+    /// A pool that keeps so many idle connections to one server.
+    pub(crate) fn with_idle_limit(idle_limit: usize) -> Self {
+        Self { servers: Mutex::default(), idle_limit }
+    }
+
     /// Takes an idle connection, if one may be used.
     pub(crate) fn take(
         &self,
@@ -92,10 +117,9 @@
         let mut servers = self.servers.lock().expect("pool lock is never poisoned");
         let idle = &mut servers.get_mut(&address)?.idle;
         idle.retain(|connection| connection.may_live(now));
-        let position = idle.iter().rposition(|connection| {
-            let is_heard = now < connection.received_at.get() + TRUSTED_SILENCE;
-            connection.sender.is_ready() && (trust == ConnectionTrust::Any || is_heard)
-        })?;
+        let position = idle
+            .iter()
+            .rposition(|connection| connection.sender.is_ready() && connection.has(trust, now))?;
         Some(idle.swap_remove(position))
     }
 
@@ -116,7 +140,10 @@
         }
         connection.idle_since = now;
         let mut servers = self.servers.lock().expect("pool lock is never poisoned");
-        servers.entry(connection.address).or_default().idle.push(connection);
+        let idle = &mut servers.entry(connection.address).or_default().idle;
+        if idle.len() < self.idle_limit {
+            idle.push(connection);
+        }
     }
 
     /// Closes connections that were idle too long or lead to servers that are gone.
@@ -144,8 +171,32 @@
 }
 
 impl BackendConnection {
+    /// Notes that a request on it was answered, and how long the server keeps it open from now on.
+    pub(crate) fn note_answer(&mut self, now: Instant, keep_alive: Option<Duration>) {
+        self.answered_at = Some(now);
+        self.limit_idle(keep_alive);
+    }
+
+    /// Takes over how long the server keeps an idle connection open, less what is on the way.
+    pub(crate) fn limit_idle(&mut self, keep_alive: Option<Duration>) {
+        if let Some(time) = keep_alive {
+            self.max_idle = time.saturating_sub(KEEP_ALIVE_MARGIN).min(MAX_IDLE);
+        }
+    }
+
     fn may_live(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && now < self.idle_since + MAX_IDLE
+        !self.sender.is_closed() && now < self.idle_since + self.max_idle
+    }
+
+    fn has(&self, trust: ConnectionTrust, now: Instant) -> bool {
+        let is_heard = now < self.received_at.get() + TRUSTED_SILENCE;
+        let is_quiet = self.answered_at.is_none_or(|at| now >= at + SURPLUS_ANSWER_TIME);
+        match trust {
+            ConnectionTrust::Any => true,
+            ConnectionTrust::RecentlyHeard => is_heard,
+            ConnectionTrust::Quiet => is_heard && is_quiet,
+            ConnectionTrust::New => false,
+        }
     }
 }
 
@@ -191,6 +242,8 @@
         address,
         received_at,
         idle_since: now,
+        max_idle: MAX_IDLE,
+        answered_at: None,
         task: task.abort_handle(),
         open: reservation.keep(),
     })
--- a/components/proxy/src/request_body.rs
+++ b/components/proxy/src/request_body.rs
@@ -13,9 +13,6 @@
 use crate::pool::SendBody;
 use crate::prefixed::PrefixedBody;
 
-/// Largest body that is kept whole to be sent again.
-const MAX_KEPT_BYTES: u64 = 64 << 10;
-
 /// Part of a body that counts towards a request's fingerprint.
 const MAX_FINGERPRINT_BYTES: usize = 1 << 20;
 
@@ -44,6 +41,8 @@
 pub(crate) struct BodyLimits {
     pub(crate) pause: Duration,
     pub(crate) bytes: u64,
+    /// Largest body that is kept whole.
+    pub(crate) kept: u64,
 }
 
 /// A request body, as far as it can be sent again.
@@ -69,13 +68,38 @@
             return Err(BodyError::TooLarge);
         }
         let mut body = LimitedBody::new(incoming, limits);
-        if exact.is_some_and(|size| size <= MAX_KEPT_BYTES) {
-            let (bytes, _) = body.read_up_to(MAX_KEPT_BYTES as usize).await?;
+        if exact.is_some_and(|size| size <= limits.kept) {
+            let (bytes, _) = body.read_up_to(limits.kept as usize).await?;
             return Ok(Self::Kept(bytes));
         }
         Ok(Self::Streamed(Bytes::new(), body))
     }
 
+    /// Prepares a body and reads it whole where it is small enough, also without a known length. A
+    /// body that has been read whole can't be cut short by a server that answers early.
+    pub(crate) async fn prepare_whole(
+        incoming: Incoming,
+        limits: BodyLimits,
+    ) -> Result<Self, BodyError> {
+        let mut body = Self::prepare(incoming, limits).await?;
+        if let Self::Streamed(prefix, rest) = &mut body {
+            let (bytes, is_whole) = rest.read_up_to(limits.kept as usize).await?;
+            match is_whole {
+                true => return Ok(Self::Kept(bytes)),
+                false => *prefix = bytes,
+            }
+        }
+        Ok(body)
+    }
+
+    /// Bytes known so far.
+    pub(crate) fn known_bytes(&self) -> usize {
+        match self {
+            Self::Empty | Self::Sent => 0,
+            Self::Kept(bytes) | Self::Streamed(bytes, _) => bytes.len(),
+        }
+    }
+
     /// Reads the part that counts towards the request's fingerprint, and keeps it for sending.
     pub(crate) async fn read_fingerprint_part(&mut self) -> Result<Bytes, BodyError> {
         match self {
--- a/components/proxy/src/service.rs
+++ b/components/proxy/src/service.rs
@@ -14,8 +14,8 @@
 use board::Blackboard;
 use limits::RetryBudget;
 use model::{AccountId, FastMap, GroupName, RevisionNumber, ServerId, ZoneName};
-use platform::{ServerEntry, ServerState};
 use records::{ServiceKey, ServicePlan};
+use store::{ServerEntry, ServerState};
 
 use crate::pool::ConnectionPool;
 
--- a/components/records/src/rows.rs
+++ b/components/records/src/rows.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use model::{AccountId, OperationId, RecordKey, RevisionNumber};
-use platform::{CommitRequest, RowCondition, RowWrite, TableRow};
+use store::{CommitRequest, RowCondition, RowWrite, TableRow};
 
 use crate::change::{ChangeEntry, RecordChange};
 use crate::snapshot::StoredRecord;
--- a/components/records/tests/records.rs
+++ b/components/records/tests/records.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 
 use model::{OperationId, RecordKey, RecordSpec, RevisionNumber, parse_record};
-use platform::{CommitOutcome, MemoryTable};
 use proptest::prelude::*;
 use records::{
     ApplyOutcome, ConfigSnapshot, RoutingTable, WriteRefusal, WriteRequest, WriteVerb, admit_write,
     plan_write,
 };
 use serde_json::{Value, json};
+use store::{CommitOutcome, MemoryTable};
 use testkit::history_config;
 
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/components/routes/src/book.rs
@@ -0,0 +1,123 @@
+//! The backend servers that are known, from listings and changes of a list that can be away.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use model::{FastMap, ServerId};
+
+use crate::server::{ServerChange, ServerRecord};
+
+/// Entries that lapsed while the list was away are back this long after its return, if their
+/// servers live; the platform promises about two seconds.
+const LAPSED_TIME: Duration = Duration::from_millis(2_000);
+
+/// The list counts as away after this long without contact; shorter gaps lapse no entries.
+const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
+
+/// The known servers.
+#[derive(Debug)]
+pub struct ServerBook {
+    servers: FastMap<ServerId, KnownServer>,
+    contact_at: Instant,
+    /// When contact was regained after an outage.
+    returned_at: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct KnownServer {
+    record: ServerRecord,
+    /// When a server whose entry has lapsed is dropped.
+    lapses_at: Option<Instant>,
+}
+
+impl ServerBook {
+    /// An empty book.
+    pub fn new(now: Instant) -> Self {
+        Self { servers: FastMap::default(), contact_at: now, returned_at: None }
+    }
+
+    /// Notes an answer of the list. Called before what it brought is taken in.
+    pub fn note_contact(&mut self, now: Instant) {
+        let is_return = now >= self.contact_at + OUTAGE_TIME;
+        self.contact_at = now;
+        if is_return {
+            self.returned_at = Some(now);
+        }
+    }
+
+    /// Notes that the list was reached at `now` but is waiting for changes.
+    pub fn note_quiet(&mut self, now: Instant) {
+        self.contact_at = now;
+    }
+
+    /// Takes in the whole list.
+    pub fn take_listing(&mut self, listed: Vec<ServerChange>, now: Instant) {
+        let mut missing: Vec<ServerId> = self.servers.keys().cloned().collect();
+        for change in listed {
+            if let ServerChange::Present(record) = change {
+                missing.retain(|id| *id != record.id);
+                self.set(record);
+            }
+        }
+        for id in missing {
+            self.drop_server(&id, now);
+        }
+    }
+
+    /// Takes in changes, in their order.
+    pub fn take_changes(&mut self, changes: Vec<ServerChange>, now: Instant) {
+        for change in changes {
+            match change {
+                ServerChange::Present(record) => self.set(record),
+                ServerChange::Absent(id) => self.drop_server(&id, now),
+            }
+        }
+    }
+
+    /// Drops servers whose entries have lapsed for too long; tells whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.servers.len();
+        self.servers.retain(|_, known| known.lapses_at.is_none_or(|at| now < at));
+        self.servers.len() != before
+    }
+
+    /// When `expire` is due next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.servers.values().filter_map(|known| known.lapses_at).min()
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|known| &known.record)
+    }
+
+    /// Number of servers.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    fn set(&mut self, record: ServerRecord) {
+        let id = record.id.clone();
+        self.servers.insert(id, KnownServer { record, lapses_at: None });
+    }
+
+    /// An entry that is missing right after an outage may only have lapsed.
+    fn drop_server(&mut self, id: &ServerId, now: Instant) {
+        let until = self.returned_at.map(|at| at + LAPSED_TIME).filter(|until| now < *until);
+        let Some(known) = self.servers.get_mut(id) else {
+            return;
+        };
+        match until.filter(|_| !known.record.is_leaving) {
+            Some(until) => known.lapses_at = Some(known.lapses_at.unwrap_or(until)),
+            None => {
+                self.servers.remove(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/routes/src/lib.rs
@@ -0,0 +1,16 @@
+//! Routes, services and backend servers as a hosting platform gives them, in the product's words.
+//!
+//! On a platform that brings its own operators' interface, nothing here is a versioned record of
+//! the product: a whole configuration arrives at once and replaces the one before.
+
+mod book;
+mod interface;
+mod server;
+mod table;
+
+pub use book::ServerBook;
+pub use interface::{HeaderNames, WireInterface};
+pub use server::{ServerChange, ServerRecord};
+pub use table::{
+    CallerLimits, HostedRoute, RepeatRule, RoutePart, RouteTable, ServiceInfo, ServiceName,
+};
--- /dev/null
+++ b/components/routes/src/server.rs
@@ -0,0 +1,46 @@
+//! Backend servers as the platform's list names them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::{ServerId, ZoneName};
+
+use crate::table::ServiceName;
+
+/// A backend server in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Its identity.
+    pub id: ServerId,
+    /// When this life of it began, in Unix milliseconds; 0 where the list doesn't tell. Invariant:
+    /// with `id` and `address` it names one life, which shares nothing with another.
+    pub born_ms: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new work.
+    pub is_leaving: bool,
+    /// How much longer it stays slow after its start.
+    pub warmup_left: Duration,
+}
+
+impl ServerRecord {
+    /// Whether two records name the same life of a server.
+    pub fn is_same_life(&self, other: &Self) -> bool {
+        self.id == other.id && self.born_ms == other.born_ms && self.address == other.address
+    }
+}
+
+/// One change of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerChange {
+    /// A server is there with these properties.
+    Present(ServerRecord),
+    /// The server with this identity is no longer listed.
+    Absent(ServerId),
+}
--- /dev/null
+++ b/components/routes/src/table.rs
@@ -0,0 +1,116 @@
+//! A whole configuration: routes by host and path, services and limits for callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use model::{FastMap, RevisionNumber};
+
+/// Name of a service on the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display, derive_more::From)]
+pub struct ServiceName(pub Box<str>);
+
+/// How often a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum RepeatRule {
+    /// Any number of times.
+    #[display("idempotent")]
+    Idempotent,
+    /// At most once for each attempt of a caller.
+    #[display("once")]
+    Once,
+}
+
+/// A service that a route leads to, with its part of the requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoutePart {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part relative to the other parts of the route.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostedRoute {
+    /// Its name.
+    pub name: Box<str>,
+    /// Beginning of the paths that it is for. Invariant: begins and ends with "/".
+    pub prefix: Box<str>,
+    /// How often its requests may run.
+    pub repeat: RepeatRule,
+    /// Longest time that a request may stay here.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most to the caller.
+    pub target: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most servers that one attempt may be sent to. Invariant: at least 1.
+    pub max_attempts: u32,
+    /// Where requests go. Invariant: not empty.
+    pub parts: Vec<RoutePart>,
+}
+
+/// What the configuration says of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceInfo {
+    /// Path of health checks.
+    pub health_path: Box<str>,
+    /// Connections that one server accepts from all entry VMs together.
+    pub connections: u32,
+}
+
+/// Limits on what callers may send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: u64,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Longest time to send a head.
+    pub header_time: Duration,
+    /// Longest time that a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+/// A whole configuration. Invariant: of one version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteTable {
+    /// Its version.
+    pub version: RevisionNumber,
+    /// Invariant: the routes of a host stand longest prefix first; hosts are in lower case.
+    hosts: FastMap<Box<str>, Vec<Arc<HostedRoute>>>,
+    /// Services by name.
+    pub services: FastMap<ServiceName, ServiceInfo>,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// A table without routes.
+    pub fn new(
+        version: RevisionNumber,
+        services: FastMap<ServiceName, ServiceInfo>,
+        limits: CallerLimits,
+    ) -> Self {
+        Self { version, hosts: FastMap::default(), services, limits }
+    }
+
+    /// Adds the routes of a host.
+    pub fn add_host(&mut self, host: &str, routes: Vec<HostedRoute>) {
+        let known = self.hosts.entry(host.to_ascii_lowercase().into()).or_default();
+        known.extend(routes.into_iter().map(Arc::new));
+        known.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    }
+
+    /// The route of a request; `host` is in lower case and without port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<HostedRoute>> {
+        self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,8 +1,10 @@
 //! Settings of the daemon: read from JSON and checked whole before anything starts.
 
+mod hosted;
 mod load;
 mod report;
 
+pub use hosted::{HostedSettings, RetrySettings, load_hosted_settings};
 pub use load::{
     CallerSettings, DaemonSettings, LogFormat, LogLevel, PlatformSettings, load_settings,
 };
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use model::{FieldFault, FieldKind, FieldRule, VmId, ZoneName, check_fields};
@@ -193,35 +194,44 @@
     field("shutdown_notice_ms", FieldKind::Whole(0, 600_000), false),
 ];
 
+/// Addresses in the settings, as JSON pointers.
+const SETTINGS_ADDRESSES: &[&str] =
+    &["/callers", "/operators", "/peers", "/platform/table", "/platform/list"];
+
 /// Fewest characters of a peer key; 32 hexadecimal digits hold 128 bits.
 const MIN_PEER_KEY_CHARACTERS: usize = 32;
 
 /// Reads and checks a settings file; the fault lists every wrong field with its line.
 pub fn load_settings(path: &Path) -> Result<DaemonSettings, SettingsFault> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| SettingsFault::unreadable(path, &error.to_string()))?;
-    parse_settings(path, &text)
+    read_settings(path, SETTINGS_FIELDS, SETTINGS_ADDRESSES, check_texts)
 }
 
-fn parse_settings(path: &Path, text: &str) -> Result<DaemonSettings, SettingsFault> {
-    let value: Value = serde_json::from_str(text).map_err(|error| {
-        SettingsFault::malformed(path, text, error.line(), error.column(), &error.to_string())
+/// Reads a settings file and checks it against a table of fields and `check`.
+pub(crate) fn read_settings<T: DeserializeOwned>(
+    path: &Path,
+    fields: &[FieldRule],
+    addresses: &[&str],
+    check: impl FnOnce(&Value, &mut Vec<FieldFault>),
+) -> Result<T, SettingsFault> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsFault::unreadable(path, &error.to_string()))?;
+    let value: Value = serde_json::from_str(&text).map_err(|error| {
+        SettingsFault::malformed(path, &text, error.line(), error.column(), &error.to_string())
     })?;
     let mut faults = Vec::new();
-    check_fields("$", &value, SETTINGS_FIELDS, &mut faults);
-    check_addresses(&value, &mut faults);
-    check_texts(&value, &mut faults);
+    check_fields("$", &value, fields, &mut faults);
+    check_addresses(&value, addresses, &mut faults);
+    check(&value, &mut faults);
     if !faults.is_empty() {
-        return Err(SettingsFault::wrong_fields(path, text, &faults));
+        return Err(SettingsFault::wrong_fields(path, &text, &faults));
     }
     serde_json::from_value(value).map_err(|error| {
         let fault = FieldFault::new("$", error.to_string());
-        SettingsFault::wrong_fields(path, text, &[fault])
+        SettingsFault::wrong_fields(path, &text, &[fault])
     })
 }
 
-fn check_addresses(value: &Value, faults: &mut Vec<FieldFault>) {
-    let pointers = ["/callers", "/operators", "/peers", "/platform/table", "/platform/list"];
+fn check_addresses(value: &Value, pointers: &[&str], faults: &mut Vec<FieldFault>) {
     let mut own: Vec<(String, SocketAddr)> = Vec::new();
     for pointer in pointers {
         let Some(text) = value.pointer(pointer).and_then(Value::as_str) else {
@@ -232,12 +242,13 @@
             faults.push(FieldFault::new(&path, "must be an IP address and port, as 10.0.0.1:8080"));
             continue;
         };
+        let is_own = !pointer.starts_with("/platform") && *pointer != "/store";
         let clash = own.iter().find(|(_, other)| other.port() == address.port());
-        if let Some((other, _)) = clash.filter(|_| !pointer.starts_with("/platform")) {
+        if let Some((other, _)) = clash.filter(|_| is_own) {
             let problem = format!("port {} is used by {other} too", address.port());
             faults.push(FieldFault::new(&path, problem));
         }
-        if !pointer.starts_with("/platform") {
+        if is_own {
             own.push((path, address));
         }
     }
--- a/components/platform/src/http.rs
+++ b/components/store/src/http.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -25,6 +26,13 @@
 /// Most idle connections kept to one platform address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
+/// Silence after which the kernel asks whether the other end is still there, and the interval
+/// between its questions. One second is the smallest that the kernel takes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered questions after which a connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Why a call to the platform gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("platform call {call} failed: {reason}")]
@@ -76,9 +84,20 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        match timeout(self.deadline, self.exchange(method, path, body)).await {
+        self.send_within(method, path, body, self.deadline).await
+    }
+
+    /// Sends a request whose answer may take longer or less long than the client's deadline.
+    pub async fn send_within(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        deadline: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        match timeout(deadline, self.exchange(method, path, body)).await {
             Ok(answer) => answer,
-            Err(_) => Err(failure(path, &format!("no answer in {:?}", self.deadline))),
+            Err(_) => Err(failure(path, &format!("no answer in {deadline:?}"))),
         }
     }
 
@@ -117,6 +136,7 @@
         let stream =
             TcpStream::connect(self.address).await.map_err(|error| failure(path, &error))?;
         stream.set_nodelay(true).map_err(|error| failure(path, &error))?;
+        watch_liveness(&stream).map_err(|error| failure(path, &error))?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| failure(path, &error))?;
         tokio::spawn(connection);
@@ -135,6 +155,17 @@
     }
 }
 
+/// Lets the kernel notice a connection of which the other end no longer knows.
+fn watch_liveness(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_PROBES))
+}
+
 fn failure(call: &str, reason: &dyn std::fmt::Display) -> StoreError {
     StoreError { call: call.into(), reason: reason.to_string().into() }
 }
--- a/components/platform/tests/clients.rs
+++ b/components/store/tests/clients.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use platform::{
+use serde_json::json;
+use store::{
     CommitOutcome, CommitRequest, ObjectClient, RowCondition, RowWrite, ScanRequest, TableClient,
 };
-use serde_json::json;
 use testkit::PlatformStandIn;
 
 const DEADLINE: Duration = Duration::from_secs(20);
--- a/components/testkit/examples/embedding.rs
+++ b/components/testkit/examples/embedding.rs
@@ -13,9 +13,9 @@
 use limits::{AdmissionGate, AdmissionOutcome};
 use members::{LeaseTimes, MemberRow, SlotLease};
 use model::{AccountLimits, AttemptId, RecordSpec, parse_record};
-use platform::MemoryTable;
 use records::{ConfigSnapshot, RoutingTable, WriteRequest, admit_write, plan_write};
 use serde_json::json;
+use store::MemoryTable;
 use tokio::time::Instant;
 
 fn main() {
--- a/components/testkit/examples/policy/entry.rs
+++ b/components/testkit/examples/policy/entry.rs
@@ -15,9 +15,9 @@
 use members::{HeldSlot, MemberEntry, MemberRow};
 use model::{RevisionNumber, parse_record};
 use observe::{DaemonMetrics, Logger, TraceExporter, o};
-use platform::{MemoryTable, ServerEntry, ServerState, TableClient};
 use proxy::{CallerListener, ClaimCoordinator, ListenerLimits, RequestHandler, ServiceTable};
 use records::{ConfigSnapshot, RoutingTable, StoredRecord};
+use store::{MemoryTable, ServerEntry, ServerState, TableClient};
 
 use crate::backend::Backend;
 use crate::baselines::{PolicyName, ProbePool};
--- a/components/testkit/examples/policy/load.rs
+++ b/components/testkit/examples/policy/load.rs
@@ -12,9 +12,9 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use platform::ServerState;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use store::ServerState;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
--- a/components/testkit/examples/slopes/measure.rs
+++ b/components/testkit/examples/slopes/measure.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use platform::{ServerEntry, ServerState};
 use serde_json::{Value, json};
+use store::{ServerEntry, ServerState};
 use testkit::{
     BackendBehaviour, CallRequest, FLEET_KEY, ProcessUsage, TestFleet, TestService, account_record,
     call, policy_record, read_metric, service_record,
--- a/components/testkit/src/fleet.rs
+++ b/components/testkit/src/fleet.rs
@@ -7,8 +7,8 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use platform::{ServerEntry, ServerState};
 use records::hash_key;
+use store::{ServerEntry, ServerState};
 
 use crate::backend::{BackendBehaviour, BackendStandIn};
 use crate::caller::{CallAnswer, CallRequest, call};
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use platform::{CommitAnswer, CommitOutcome, MemoryTable, ServerEntry, ServerList, ServerState};
+use store::{CommitAnswer, CommitOutcome, MemoryTable, ServerEntry, ServerList, ServerState};
 
 use crate::web::{WebBody, WebServer, never};
 
--- a/src/bin/mustardraild.rs
+++ b/src/bin/mustardraild.rs
@@ -1,6 +1,6 @@
 //! The daemon, one per entry VM.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
@@ -15,10 +15,12 @@
 Usage:
   mustardraild SETTINGS.json          run with these settings
   mustardraild --check SETTINGS.json  check the settings and exit
+  mustardraild --hosted SETTINGS.json run on a hosting platform
   mustardraild --dev                  run a sample in one process
 
 Options:
   --check      check the settings and exit: 0 if they can be used, 2 if not
+  --hosted     configuration and backend servers come from the platform's store
   --dev        platform in memory, a sample account and small backend servers
   -h, --help   print this text
   --version    print the version
@@ -28,7 +30,9 @@
 
 enum DaemonTask {
     Run(PathBuf),
+    RunHosted(PathBuf),
     Check(PathBuf),
+    CheckHosted(PathBuf),
     Dev,
     Print(String),
 }
@@ -64,9 +68,18 @@
         DaemonTask::Dev => daemon::run_dev().into_diagnostic().map_err(failed),
         DaemonTask::Check(path) => {
             settings::load_settings(&path).map_err(unusable)?;
-            println!("settings file \"{}\" can be used", path.display());
+            tell_usable(&path);
             Ok(())
         }
+        DaemonTask::CheckHosted(path) => {
+            settings::load_hosted_settings(&path).map_err(unusable)?;
+            tell_usable(&path);
+            Ok(())
+        }
+        DaemonTask::RunHosted(path) => {
+            let settings = settings::load_hosted_settings(&path).map_err(unusable)?;
+            daemon::run_hosted(&path, settings).into_diagnostic().map_err(failed)
+        }
         DaemonTask::Run(path) => {
             let settings = settings::load_settings(&path).map_err(unusable)?;
             daemon::run_daemon(settings).into_diagnostic().map_err(failed)
@@ -74,6 +87,10 @@
     }
 }
 
+fn tell_usable(path: &Path) {
+    println!("settings file \"{}\" can be used", path.display());
+}
+
 fn unusable(fault: settings::SettingsFault) -> TaskFault {
     TaskFault { report: Report::new(fault), status: BAD_SETTINGS }
 }
@@ -87,6 +104,7 @@
     let mut is_check = false;
     let mut path: Option<PathBuf> = None;
     let mut is_dev = false;
+    let mut is_hosted = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(DaemonTask::Print(HELP.into())),
@@ -96,14 +114,17 @@
             }
             Long("check") => is_check = true,
             Long("dev") => is_dev = true,
+            Long("hosted") => is_hosted = true,
             Value(value) if path.is_none() => path = Some(value.into()),
             other => return Err(other.unexpected()),
         }
     }
-    match (path, is_dev, is_check) {
-        (None, true, false) => Ok(DaemonTask::Dev),
-        (Some(path), false, false) => Ok(DaemonTask::Run(path)),
-        (Some(path), false, true) => Ok(DaemonTask::Check(path)),
+    match (path, is_dev, is_check, is_hosted) {
+        (None, true, false, false) => Ok(DaemonTask::Dev),
+        (Some(path), false, false, false) => Ok(DaemonTask::Run(path)),
+        (Some(path), false, false, true) => Ok(DaemonTask::RunHosted(path)),
+        (Some(path), false, true, false) => Ok(DaemonTask::Check(path)),
+        (Some(path), false, true, true) => Ok(DaemonTask::CheckHosted(path)),
         _ => Err("give one settings file, or --dev".into()),
     }
 }
--- a/tests/holds_drain.rs
+++ b/tests/holds_drain.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{lookup, serve, setup};
-use platform::ServerState;
 use serde_json::json;
+use store::ServerState;
 use testkit::{BackendBehaviour, TestFleet, TestService, call};
 use tokio::time::{Instant, sleep};
 
