Tell late heartbeats by their sequence, and outages by failed calls

The trace showed the removal of the entry read 14 ms after the store's answer, and held back for 2 s as if it had only lapsed: a quiet long poll counted as an outage.

Ruled out: late entries that overwrite newer ones (not seen in the trace; told by sequence now all the same), slow polls (the change was read at once).

Change: an outage is a failed call; connections to the store open within 0.7 s or fail.

--- a/components/daemon/src/hosted/following.rs
+++ b/components/daemon/src/hosted/following.rs
@@ -8,7 +8,7 @@
 
 use board::HostedBoard;
 use model::jittered;
-use observe::{HostedMetrics, Logger, info, warn};
+use observe::{HostedMetrics, Logger, debug, info, warn};
 use platform::{
     ChangedRows, FeedAnswer, PlatformStore, TableName, TableRow, read_config_row, read_server_row,
 };
@@ -163,7 +163,7 @@
 /// Follows the list of backend servers.
 pub(crate) async fn follow_servers(parts: FollowingParts) {
     let mut follower = TableFollower::new(parts.clone(), TableName::Servers);
-    let mut book = ServerBook::new(Instant::now());
+    let mut book = ServerBook::default();
     let mut has_listed = false;
     loop {
         let expiry = book.next_expiry();
@@ -181,7 +181,12 @@
             None => follower.next().await,
         };
         let now = Instant::now();
-        let Some(news) = news else { continue };
+        let Some(news) = news else {
+            if follower.failures > 0 {
+                book.note_outage();
+            }
+            continue;
+        };
         book.note_contact(now);
         let has_changes = match news {
             TableNews::Listed(rows) => {
@@ -210,7 +215,10 @@
     let mut changes = Vec::new();
     for row in rows {
         match read_server_row(row) {
-            Ok(change) => changes.push(change),
+            Ok(change) => {
+                debug!(log, "servers: entry"; "change" => ?change, "row" => row.version);
+                changes.push(change);
+            }
             Err(fault) => note_fault(log, &fault),
         }
     }
--- a/components/routes/src/book.rs
+++ b/components/routes/src/book.rs
@@ -12,15 +12,13 @@
 /// servers live; the platform promises about two seconds.
 const LAPSED_TIME: Duration = Duration::from_millis(2_000);
 
-/// The list counts as away after this long without contact; shorter gaps lapse no entries.
-const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
-
 /// The known servers.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ServerBook {
     servers: FastMap<ServerId, KnownServer>,
-    contact_at: Instant,
-    /// When contact was regained after an outage.
+    /// Whether the last call to the list failed.
+    is_away: bool,
+    /// When the list was regained after an outage.
     returned_at: Option<Instant>,
 }
 
@@ -32,25 +30,18 @@
 }
 
 impl ServerBook {
-    /// An empty book.
-    pub fn new(now: Instant) -> Self {
-        Self { servers: FastMap::default(), contact_at: now, returned_at: None }
+    /// Notes that the list could not be read.
+    pub fn note_outage(&mut self) {
+        self.is_away = true;
     }
 
     /// Notes an answer of the list. Called before what it brought is taken in.
     pub fn note_contact(&mut self, now: Instant) {
-        let is_return = now >= self.contact_at + OUTAGE_TIME;
-        self.contact_at = now;
-        if is_return {
+        if std::mem::take(&mut self.is_away) {
             self.returned_at = Some(now);
         }
     }
 
-    /// Notes that the list was reached at `now` but is waiting for changes.
-    pub fn note_quiet(&mut self, now: Instant) {
-        self.contact_at = now;
-    }
-
     /// Takes in the whole list.
     pub fn take_listing(&mut self, listed: Vec<ServerChange>, now: Instant) {
         let mut missing: Vec<ServerId> = self.servers.keys().cloned().collect();
@@ -104,6 +95,10 @@
 
     fn set(&mut self, record: ServerRecord) {
         let id = record.id.clone();
+        let known = self.servers.get(&id);
+        if known.is_some_and(|known| record.is_older_than(&known.record)) {
+            return;
+        }
         self.servers.insert(id, KnownServer { record, lapses_at: None });
     }
 
--- a/components/routes/src/server.rs
+++ b/components/routes/src/server.rs
@@ -15,6 +15,8 @@
     /// When this life of it began, in Unix milliseconds; 0 where the list doesn't tell. Invariant:
     /// with `id` and `address` it names one life, which shares nothing with another.
     pub born_ms: u64,
+    /// Counts the entries that this life of it has written; a lower one is late.
+    pub sequence: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// The service that it belongs to.
@@ -34,6 +36,14 @@
     pub fn is_same_life(&self, other: &Self) -> bool {
         self.id == other.id && self.born_ms == other.born_ms && self.address == other.address
     }
+
+    /// Whether this record was written before another of the same server and came late.
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        match self.is_same_life(other) {
+            true => self.sequence < other.sequence,
+            false => self.born_ms < other.born_ms,
+        }
+    }
 }
 
 /// One change of the platform's list.
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -26,6 +26,10 @@
 /// Most idle connections kept to one platform address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
+/// Longest time to open a connection. A call that waits long for its answer must not wait as long
+/// for a connection: behind a partition its first packet is lost, and the next is seconds away.
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+
 /// Silence after which the kernel asks whether the other end is still there, and the interval
 /// between its questions. One second is the smallest that the kernel takes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -133,8 +137,10 @@
                 return Ok(sender);
             }
         }
-        let stream =
-            TcpStream::connect(self.address).await.map_err(|error| failure(path, &error))?;
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(self.address))
+            .await
+            .map_err(|_| failure(path, &format!("no connection in {CONNECT_TIME:?}")))?
+            .map_err(|error| failure(path, &error))?;
         stream.set_nodelay(true).map_err(|error| failure(path, &error))?;
         watch_liveness(&stream).map_err(|error| failure(path, &error))?;
         let (sender, connection) =
