Drop servers missing after an outage unless most are; stop accepting after SIGTERM

Change: entries missing after an outage are held only for a service that lost most of its entries; listeners close 2.8 s after SIGTERM.

--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -25,15 +25,15 @@
 /// Longest time for an answer of the store, beyond what it was asked to wait.
 const STORE_CALL_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time from SIGTERM until the platform sends no new connections: it asks once a second and takes
-/// a VM out after two misses.
-const NOTICE_TIME: Duration = Duration::from_millis(3_000);
+/// Time from SIGTERM until new connections are refused. The platform asks once a second, and sends
+/// none after two misses. What was taken before has the rest of the grace time to end.
+const NOTICE_TIME: Duration = Duration::from_millis(2_800);
 
 /// Time before the end of the grace time at which the process ends in any case.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time between two looks at the requests in flight while shutting down.
-const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time that the writing thread has for the last log lines.
+const LAST_LINES_TIME: Duration = Duration::from_millis(50);
 
 /// Time between two looks for connections that were idle for too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
@@ -65,8 +65,7 @@
         .map_err(|error| start_fault("log thread", &error))?;
     let end = runtime.block_on(run(path.to_owned(), settings, logs.clone()));
     logs.flush();
-    // The writing thread gets time for the last lines.
-    std::thread::sleep(DRAIN_LOOK);
+    std::thread::sleep(LAST_LINES_TIME);
     end
 }
 
@@ -116,7 +115,7 @@
     let ends_at = Instant::now() + settings.grace().saturating_sub(GRACE_MARGIN);
     info!(log, "daemon: shutdown begins"; "in_flight" => handler.in_flight());
     board.begin_drain();
-    drain(&handler, ends_at).await;
+    sleep(NOTICE_TIME).await;
     // Without a receiver the listener has ended already.
     let _ = stop.send(true);
     let rest = ends_at.saturating_duration_since(Instant::now());
@@ -125,14 +124,6 @@
     Ok(())
 }
 
-/// Serves on until the platform has noticed and nothing is in flight, or the time is over.
-async fn drain(handler: &HostedHandler, ends_at: Instant) {
-    sleep(NOTICE_TIME).await;
-    while handler.in_flight() > 0 && Instant::now() < ends_at {
-        sleep(DRAIN_LOOK).await;
-    }
-}
-
 fn new_services(settings: &HostedSettings) -> HostedServices {
     let placement = PlacementOptions {
         zone: settings.zone.clone(),
--- a/components/routes/src/book.rs
+++ b/components/routes/src/book.rs
@@ -7,10 +7,12 @@
 use model::{FastMap, ServerId};
 
 use crate::server::{ServerChange, ServerRecord};
+use crate::table::ServiceName;
 
-/// Entries that lapsed while the list was away are back this long after its return, if their
-/// servers live; the platform promises about two seconds.
-const LAPSED_TIME: Duration = Duration::from_millis(2_000);
+/// Entries that lapsed while the list was away are back about two seconds after its return, if
+/// their servers live. An entry VM that is back later than the list itself has less time: a server
+/// that is gone must get no request three seconds after the end of the outage.
+const LAPSED_TIME: Duration = Duration::from_millis(1_700);
 
 /// The known servers.
 #[derive(Debug, Default)]
@@ -78,9 +80,18 @@
         self.servers.values().filter_map(|known| known.lapses_at).min()
     }
 
-    /// The servers.
+    /// The servers that may get requests. Those whose entries have lapsed count only for a service
+    /// that lost most of its entries: where most are there, the missing ones have rather gone.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.servers.values().map(|known| &known.record)
+        let mut balance: FastMap<&ServiceName, i64> = FastMap::default();
+        for known in self.servers.values() {
+            let vote = if known.lapses_at.is_some() { -1 } else { 1 };
+            *balance.entry(&known.record.service).or_default() += vote;
+        }
+        self.servers
+            .values()
+            .filter(move |known| known.lapses_at.is_none() || balance[&known.record.service] < 0)
+            .map(|known| &known.record)
     }
 
     /// Number of servers.
