End every call to the store within the contact time

Changes of 27.1 s were not in force at 29.2 s.

Ruled out: the kernel's keep-alive, which answers for a store that is there and stays silent; slow applying (the log shows 0.3 s from change to force before).

Change: a call waits 0.55 of the contact time and its answer may take 0.22 more (1.65 s and 0.66 s).

--- a/components/daemon/src/hosted/following.rs
+++ b/components/daemon/src/hosted/following.rs
@@ -16,9 +16,10 @@
 use routes::{ServerBook, ServerChange};
 use store::StoreError;
 
-/// How long one call waits for changes. Each call is paid for; the kernel's keep-alive shows a dead
-/// connection sooner.
-const FEED_WAIT: Duration = Duration::from_secs(15);
+/// Part of the contact time for which one call waits for changes. A call that was pending in an
+/// outage, or on a connection that went silent, is never answered, and nothing but its end shows it:
+/// wait and answer together must end well within the contact time.
+const FEED_WAIT_PART: f64 = 0.55;
 
 /// Pause after changes, so that changes that come together need one call. Both bounds of the
 /// platform, for a configuration in force and for a leaving server, are 2 s or more.
@@ -34,6 +35,8 @@
 #[derive(Clone)]
 pub(crate) struct FollowingParts {
     pub(crate) store: Arc<PlatformStore>,
+    /// Time after an outage from which the store's content must be known again.
+    pub(crate) contact: Duration,
     pub(crate) board: Arc<HostedBoard>,
     pub(crate) services: Arc<HostedServices>,
     pub(crate) metrics: HostedMetrics,
@@ -88,7 +91,8 @@
     }
 
     async fn follow(&mut self, known: u64) -> Option<TableNews> {
-        match self.parts.store.follow(self.table, known, FEED_WAIT).await {
+        let wait = self.parts.contact.mul_f64(FEED_WAIT_PART);
+        match self.parts.store.follow(self.table, known, wait).await {
             Ok(FeedAnswer::Changed(changed)) => {
                 self.succeed();
                 Some(TableNews::Changed(self.take(changed)))
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -22,8 +22,8 @@
 use crate::run::{DaemonFault, listen, start_fault};
 use crate::shutdown::StopSignals;
 
-/// Longest time for an answer of the store, beyond what it was asked to wait.
-const STORE_CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Part of the contact time that an answer of the store may take beyond what it was asked to wait.
+const STORE_CALL_PART: f64 = 0.22;
 
 /// Time from SIGTERM until new connections are refused. The platform asks once a second, and sends
 /// none after two misses. What was taken before has the rest of the grace time to end.
@@ -88,7 +88,11 @@
         ReadinessParts { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() },
     ));
     let parts = FollowingParts {
-        store: Arc::new(PlatformStore::new(settings.store, STORE_CALL_TIME)),
+        store: Arc::new(PlatformStore::new(
+            settings.store,
+            settings.contact().mul_f64(STORE_CALL_PART),
+        )),
+        contact: settings.contact(),
         board: Arc::clone(&board),
         services: Arc::clone(&services),
         metrics: metrics.clone(),
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -26,6 +26,8 @@
     pub store: SocketAddr,
     /// Time from SIGTERM until the platform kills the process, in seconds.
     pub grace_s: f64,
+    /// Time after an outage from which this VM must know again what the store holds, in seconds.
+    pub contact_s: f64,
     /// Agreed budget of further arrivals at a service.
     pub retries: RetrySettings,
     /// Least severe log records that are written.
@@ -49,6 +51,11 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+
+    /// Time after an outage from which this VM must know again what the store holds.
+    pub fn contact(&self) -> Duration {
+        Duration::from_secs_f64(self.contact_s)
+    }
 }
 
 const fn required(name: &'static str, kind: FieldKind) -> FieldRule {
@@ -68,6 +75,7 @@
     required("readiness", FieldKind::Text),
     required("store", FieldKind::Text),
     required("grace_s", FieldKind::Number(0.1, 3_600.0)),
+    required("contact_s", FieldKind::Number(0.1, 3_600.0)),
     required("retries", FieldKind::Object(RETRY_FIELDS)),
     FieldRule {
         name: "log_level",
