Hold a request here while no server can end it in time

Ruled out: placement (the busiest server had 1.08 of the mean).

Change: a request is sent when it is expected to end by its target, or where a slot is free; else it waits here and looks again every 20 ms, and is refused with a time to come back when its target is out of reach.

--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -13,9 +13,10 @@
 use hyper::Request;
 use hyper::header::HeaderValue;
 use rand::RngExt;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use balance::{RequestShape, ServerTicket};
+use model::jittered;
 use observe::HostedMetrics;
 use routes::{HostedRoute, RepeatRule, WireInterface};
 
@@ -36,6 +37,9 @@
 /// Part of the target after which a slow first send gets a second one beside it.
 const HEDGE_PART: f64 = 0.6;
 
+/// Time between two looks for a free server. A twentieth of the shortest target of the users.
+const HOLD_STEP: Duration = Duration::from_millis(20);
+
 /// Part of the caller's time within which it honours a time to come back.
 const HONOURED_PART: f64 = 0.3;
 
@@ -175,15 +179,29 @@
         self.progress.sends == 0 || self.service.budget().take_extra(now)
     }
 
+    /// Chooses a server. While none can end the request by its target, it waits here: a request in
+    /// a server's queue takes the slot of one that could still be in time.
     async fn place(&mut self) -> Result<ChosenPlace, HostedRefusal> {
-        let Some(place) = self.choose().await else {
-            return Err(HostedRefusal::NoServer);
-        };
-        let expected = Duration::from_secs_f64(place.estimate.wait + self.shape.work.as_secs_f64());
-        if Instant::now() + expected > self.deadline {
-            return Err(HostedRefusal::Busy(self.come_back()));
+        loop {
+            let Some(place) = self.choose().await else {
+                return Err(HostedRefusal::NoServer);
+            };
+            let now = Instant::now();
+            if now + self.shape.work > self.deadline {
+                return Err(HostedRefusal::Busy(self.come_back()));
+            }
+            let expected = Duration::from_secs_f64(place.estimate.wait + place.estimate.run);
+            let is_in_time = now + expected <= self.target_at;
+            let is_free = place.estimate.wait <= 0.0;
+            if is_in_time || is_free {
+                return Ok(place);
+            }
+            if now + self.shape.work > self.target_at {
+                return Err(HostedRefusal::Busy(self.come_back()));
+            }
+            drop(place);
+            sleep(jittered(HOLD_STEP)).await;
         }
-        Ok(place)
     }
 
     async fn place_again(&mut self) -> Option<ChosenPlace> {
