--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -4,6 +4,7 @@
 //! more than once is also sent again when a server broke off or failed, and a second time when the
 //! first server takes too long. Every further send needs a place in the service's budget.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -40,8 +41,12 @@
 /// Time between two looks for a free server. A twentieth of the shortest target of the users.
 const HOLD_STEP: Duration = Duration::from_millis(20);
 
-/// Part of the caller's time within which it honours a time to come back.
-const HONOURED_PART: f64 = 0.3;
+/// Part of the caller's time at which it comes back to a busy service. Callers honour a third.
+const HONOURED_PART: Range<f64> = 0.2..0.32;
+
+/// Part of the usual time of a request after which a caller comes back to a service that refused it
+/// though it was not busy.
+const SOON_PART: Range<f64> = 0.05..0.25;
 
 /// A request on its way.
 pub(crate) struct HostedDispatch<'a> {
@@ -258,7 +263,7 @@
             return HostedRefusal::BrokenOff;
         }
         match self.progress.last_not_run {
-            Some(NotRunReason::Shed) => HostedRefusal::Shed(self.come_back()),
+            Some(NotRunReason::Shed) => HostedRefusal::Shed(self.come_back_soon()),
             _ => HostedRefusal::NoServer,
         }
     }
@@ -270,11 +275,18 @@
         HostedRefusal::LateUnsent
     }
 
-    /// When the caller may come back: spread over about the time of one request, and within the
-    /// time that it honours.
+    /// When the caller may come back after servers had no room: as late as it honours, since this
+    /// attempt's target is out of reach and the load must pass.
     fn come_back(&self) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let spread = rand::rng().random_range(0.3..1.3);
-        self.shape.work.mul_f64(spread).min(left.mul_f64(HONOURED_PART))
+        left.mul_f64(rand::rng().random_range(HONOURED_PART))
+    }
+
+    /// When the caller may come back after servers refused the request for another reason: soon,
+    /// since another try is as likely to be taken then.
+    fn come_back_soon(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let soon = self.shape.work.mul_f64(rand::rng().random_range(SOON_PART));
+        soon.min(left.mul_f64(HONOURED_PART.end))
     }
 }
