--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -77,9 +77,9 @@
 pub fn run_daemon(settings: DaemonSettings) -> Result<(), DaemonFault> {
     let deadline = settings.platform.call_deadline();
     let clients = PlatformClients {
-        table: TableClient::over_http(settings.platform.table, deadline),
-        claim_table: TableClient::over_http(settings.platform.table, deadline),
-        list: ListClient::over_http(settings.platform.list, deadline),
+        table: platform::table_client(settings.platform.table, deadline),
+        claim_table: platform::table_client(settings.platform.table, deadline),
+        list: platform::list_client(settings.platform.list, deadline),
     };
     run_with(settings, clients, || {})
 }
--- a/components/proxy/src/hosted/memory.rs
+++ b/components/proxy/src/hosted/memory.rs
@@ -8,11 +8,12 @@
 use model::FastMap;
 use routes::{HostedRoute, RoutePart, ServiceName};
 
-/// Usual time of a request relative to its route's target, before anything was measured.
+/// Usual time of a request relative to its route's target or timeout, before anything was measured.
 const FIRST_WORK_PART: f64 = 0.33;
 
-/// Range of the usual time relative to the target.
-const WORK_RANGE: (f64, f64) = (0.05, 1.0);
+/// Range of the usual time relative to the same. The upper end leaves every request a chance to be
+/// sent, without which the time would never be measured again.
+const WORK_RANGE: (f64, f64) = (0.05, 0.8);
 
 /// The usual time of work is this quantile of the measured times: what is above waited or met a
 /// slow machine.
@@ -44,19 +45,21 @@
 impl RouteMemories {
     /// Usual time of a request on the route.
     pub(crate) fn work(&self, route: &HostedRoute) -> Duration {
-        Duration::from_secs_f64(self.with(route, |memory| memory.work))
+        // What was measured under another timeout may be out of the range by now.
+        let most = aimed_seconds(route) * WORK_RANGE.1;
+        Duration::from_secs_f64(self.with(route, |memory| memory.work.min(most)))
     }
 
     /// Takes in the time that a server took.
     pub(crate) fn learn_work(&self, route: &HostedRoute, elapsed: Duration) {
-        let target = route.target.as_secs_f64();
+        let aim = aimed_seconds(route);
         self.with(route, |memory| {
             let step = match elapsed.as_secs_f64() > memory.work {
                 true => WORK_QUANTILE,
                 false => WORK_QUANTILE - 1.0,
             };
             let work = memory.work * (1.0 + WORK_STEP * step);
-            memory.work = work.clamp(target * WORK_RANGE.0, target * WORK_RANGE.1);
+            memory.work = work.clamp(aim * WORK_RANGE.0, aim * WORK_RANGE.1);
         });
     }
 
@@ -87,7 +90,7 @@
             return change(memory);
         }
         let memory = routes.entry(route.name.clone()).or_insert_with(|| RouteMemory {
-            work: route.target.as_secs_f64() * FIRST_WORK_PART,
+            work: aimed_seconds(route) * FIRST_WORK_PART,
             longest_deadline: Duration::ZERO,
             parts: Vec::new(),
         });
@@ -99,6 +102,11 @@
     }
 }
 
+/// The time within which an answer is wanted.
+fn aimed_seconds(route: &HostedRoute) -> f64 {
+    route.target.min(route.timeout).as_secs_f64()
+}
+
 /// Random credits, so that entry VMs that see few requests each don't all begin with one part.
 fn first_credits(parts: &[RoutePart]) -> Vec<PartCredit> {
     let total: f64 = parts.iter().map(|part| f64::from(part.weight)).sum();
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -109,6 +109,11 @@
         self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Hosts and their routes.
+    pub fn hosts(&self) -> impl Iterator<Item = (&str, &[Arc<HostedRoute>])> {
+        self.hosts.iter().map(|(host, routes)| (&**host, routes.as_slice()))
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -1,25 +1,40 @@
-//! The table, in memory or behind HTTP.
+//! The table, in memory or behind a network.
 
-use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
 
-use serde_json::json;
-
-use crate::http::{JsonClient, StoreError};
+use crate::http::StoreError;
 use crate::memory::MemoryTable;
-use crate::table::{CommitAnswer, CommitOutcome, CommitRequest, ScanRequest, TableRow};
+use crate::table::{CommitOutcome, CommitRequest, ScanRequest, TableRow};
+
+/// A pending answer.
+pub type StoreFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// A call with a request.
+pub type StoreFn<Q, A> = Box<dyn Fn(Q) -> StoreFuture<A> + Send + Sync>;
+
+/// How a transactional table behind a network is called. Each call makes at most one try.
+pub struct TableCalls {
+    /// Reads one row.
+    pub read: StoreFn<Box<str>, Result<Option<TableRow>, StoreError>>,
+    /// Reads rows in key order.
+    pub scan: StoreFn<ScanRequest, Result<Vec<TableRow>, StoreError>>,
+    /// Runs one transaction.
+    pub commit: StoreFn<CommitRequest, CommitOutcome>,
+    /// Bytes sent and received so far.
+    pub bytes: Box<dyn Fn() -> u64 + Send + Sync>,
+}
 
-/// Access to the platform's transactional table.
-#[derive(Debug, Clone)]
+/// Access to a transactional table.
+#[derive(Clone)]
 pub struct TableClient {
     access: TableAccess,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 enum TableAccess {
     Memory(Arc<MemoryTable>),
-    Http(Arc<JsonClient>),
+    Remote(Arc<TableCalls>),
 }
 
 impl TableClient {
@@ -28,16 +43,16 @@
         Self { access: TableAccess::Memory(table) }
     }
 
-    /// The table behind HTTP at `address`; every call takes at most `deadline`.
-    pub fn over_http(address: SocketAddr, deadline: Duration) -> Self {
-        Self { access: TableAccess::Http(Arc::new(JsonClient::new(address, deadline))) }
+    /// A table behind a network.
+    pub fn remote(calls: TableCalls) -> Self {
+        Self { access: TableAccess::Remote(Arc::new(calls)) }
     }
 
     /// Bytes sent and received so far; 0 for a table in this process.
     pub fn bytes(&self) -> u64 {
         match &self.access {
             TableAccess::Memory(_) => 0,
-            TableAccess::Http(client) => client.bytes(),
+            TableAccess::Remote(calls) => (calls.bytes)(),
         }
     }
 
@@ -45,7 +60,7 @@
     pub async fn read(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
         match &self.access {
             TableAccess::Memory(table) => Ok(table.read(key)),
-            TableAccess::Http(client) => client.call("/table/read", &json!({ "key": key })).await,
+            TableAccess::Remote(calls) => (calls.read)(key.into()).await,
         }
     }
 
@@ -53,7 +68,7 @@
     pub async fn scan(&self, request: &ScanRequest) -> Result<Vec<TableRow>, StoreError> {
         match &self.access {
             TableAccess::Memory(table) => Ok(table.scan(request)),
-            TableAccess::Http(client) => client.call("/table/scan", request).await,
+            TableAccess::Remote(calls) => (calls.scan)(request.clone()).await,
         }
     }
 
@@ -78,11 +93,7 @@
     pub async fn commit(&self, request: &CommitRequest) -> CommitOutcome {
         match &self.access {
             TableAccess::Memory(table) => table.commit(request),
-            TableAccess::Http(client) => match client.call("/table/commit", request).await {
-                Ok(CommitAnswer::Done(version)) => CommitOutcome::Done(version),
-                Ok(CommitAnswer::Conflict(keys)) => CommitOutcome::Conflict(keys),
-                Err(error) => CommitOutcome::Unknown(error),
-            },
+            TableAccess::Remote(calls) => (calls.commit)(request.clone()).await,
         }
     }
 }
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -1,4 +1,4 @@
-//! A small HTTP client for JSON calls, each with a deadline and at most one try.
+//! A small HTTP client whose calls have a deadline and at most one try each.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -11,8 +11,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -47,16 +45,16 @@
     pub reason: Box<str>,
 }
 
-/// Sends JSON requests to one address. Connections that failed or timed out are not used again.
+/// Sends requests to one address. Connections that failed or timed out are not used again.
 #[derive(Debug)]
-pub struct JsonClient {
+pub struct CallClient {
     address: SocketAddr,
     deadline: Duration,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
     bytes: AtomicU64,
 }
 
-impl JsonClient {
+impl CallClient {
     /// A client for `address` whose calls take at most `deadline`.
     pub fn new(address: SocketAddr, deadline: Duration) -> Self {
         Self { address, deadline, idle: Mutex::new(Vec::new()), bytes: AtomicU64::new(0) }
@@ -67,20 +65,6 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
-    /// Posts a JSON message and reads a JSON answer.
-    pub async fn call<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        message: &Q,
-    ) -> Result<A, StoreError> {
-        let body = serde_json::to_vec(message).map_err(|error| failure(path, &error))?;
-        let (status, answer) = self.send(Method::POST, path, body.into()).await?;
-        if status != StatusCode::OK {
-            return Err(failure(path, &format!("status {status}")));
-        }
-        serde_json::from_slice(&answer).map_err(|error| failure(path, &error))
-    }
-
     /// Sends a request and reads the whole answer.
     pub async fn send(
         &self,
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,17 +1,14 @@
-//! Clients for the platform: transactional table, object store and list of VMs.
+//! What the product keeps outside itself: rows and conditions, objects, the list of backend
+//! servers, and an HTTP client without a protocol of its own.
 
 mod client;
 mod http;
 mod list;
 mod memory;
-mod objects;
 mod table;
 
-pub use client::TableClient;
-pub use http::{JsonClient, StoreError};
-pub use list::{ListClient, ServerEntry, ServerList, ServerState};
+pub use client::{StoreFn, StoreFuture, TableCalls, TableClient};
+pub use http::{CallClient, StoreError};
+pub use list::{ListCalls, ListClient, ServerEntry, ServerList, ServerState};
 pub use memory::MemoryTable;
-pub use objects::ObjectClient;
-pub use table::{
-    CommitAnswer, CommitOutcome, CommitRequest, RowCondition, RowWrite, ScanRequest, TableRow,
-};
+pub use table::{CommitOutcome, CommitRequest, RowCondition, RowWrite, ScanRequest, TableRow};
--- a/components/store/src/list.rs
+++ b/components/store/src/list.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 
 use model::{AccountId, GroupName, ServerId, ZoneName};
 
-use crate::http::{JsonClient, StoreError};
+use crate::client::StoreFn;
+use crate::http::StoreError;
 
 /// A backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,16 +46,24 @@
     pub entries: Option<Vec<ServerEntry>>,
 }
 
+/// How a list behind a network is called: with the version that is known.
+pub struct ListCalls {
+    /// Reads the list.
+    pub load: StoreFn<Option<u64>, Result<ServerList, StoreError>>,
+    /// Bytes sent and received so far.
+    pub bytes: Box<dyn Fn() -> u64 + Send + Sync>,
+}
+
 /// Access to the platform's list of backend servers.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct ListClient {
     access: ListAccess,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 enum ListAccess {
     Memory(Arc<Mutex<Vec<ServerEntry>>>),
-    Http(Arc<JsonClient>),
+    Remote(Arc<ListCalls>),
 }
 
 impl ListClient {
@@ -65,16 +72,16 @@
         Self { access: ListAccess::Memory(entries) }
     }
 
-    /// The list behind HTTP at `address`; every call takes at most `deadline`.
-    pub fn over_http(address: SocketAddr, deadline: Duration) -> Self {
-        Self { access: ListAccess::Http(Arc::new(JsonClient::new(address, deadline))) }
+    /// A list behind a network.
+    pub fn remote(calls: ListCalls) -> Self {
+        Self { access: ListAccess::Remote(Arc::new(calls)) }
     }
 
     /// Bytes sent and received so far; 0 for a list in this process.
     pub fn bytes(&self) -> u64 {
         match &self.access {
             ListAccess::Memory(_) => 0,
-            ListAccess::Http(client) => client.bytes(),
+            ListAccess::Remote(calls) => (calls.bytes)(),
         }
     }
 
@@ -85,9 +92,7 @@
                 let entries = entries.lock().expect("list lock is never poisoned").clone();
                 Ok(ServerList { version: 0, entries: Some(entries) })
             }
-            ListAccess::Http(client) => {
-                client.call("/vms/list", &json!({ "known_version": known })).await
-            }
+            ListAccess::Remote(calls) => (calls.load)(known).await,
         }
     }
 }
--- a/components/store/src/table.rs
+++ b/components/store/src/table.rs
@@ -88,13 +88,3 @@
     /// Most rows in one answer.
     pub limit: usize,
 }
-
-/// Answer to a commit on the wire.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CommitAnswer {
-    /// All writes took effect, with this version.
-    Done(u64),
-    /// Nothing was written; these rows failed their condition.
-    Conflict(Vec<Box<str>>),
-}
--- a/components/testkit/src/backend.rs
+++ b/components/testkit/src/backend.rs
@@ -231,7 +231,7 @@
 }
 
 /// An answer that breaks off after a few bytes; unless chunked it promises 1,000.
-fn truncated(is_chunked: bool) -> Response<WebBody> {
+pub(crate) fn truncated(is_chunked: bool) -> Response<WebBody> {
     let (sender, receiver) = tokio::sync::mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(2);
     tokio::spawn(async move {
         // A caller that has gone reads nothing.
--- a/components/testkit/src/daemons.rs
+++ b/components/testkit/src/daemons.rs
@@ -141,7 +141,7 @@
 }
 
 /// Daemons log into a file when `MUSTARDRAIL_TEST_LOG` names one, and nowhere else.
-fn log_target() -> Stdio {
+pub(crate) fn log_target() -> Stdio {
     let Ok(path) = std::env::var("MUSTARDRAIL_TEST_LOG") else {
         return Stdio::null();
     };
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 mod daemons;
 mod fleet;
 mod histories;
+mod hosted;
 mod platform_server;
 mod relay;
 mod usage;
@@ -17,6 +18,10 @@
 pub use daemons::{DaemonProcess, free_port};
 pub use fleet::{FLEET_KEY, TestFleet, TestService, account_record, policy_record, service_record};
 pub use histories::history_config;
-pub use platform_server::PlatformStandIn;
+pub use hosted::{
+    HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun, HostedServer, eventually,
+    hosted_config, hosted_route, request_id, standard_routes,
+};
+pub use platform_server::{PlatformStandIn, StoreBehaviour};
 pub use relay::CutRelay;
 pub use usage::{LineFit, ProcessUsage, read_metric};
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -1,23 +1,42 @@
-//! The platform's table, object store and VM list on one loopback port.
+//! The platform's store on one loopback port: rows, changes of rows, transactions and objects.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
-use serde::Serialize;
-use serde_json::{Value, json};
-use tokio::time::sleep;
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use store::{CommitAnswer, CommitOutcome, MemoryTable, ServerEntry, ServerList, ServerState};
+use model::ServerId;
+use platform::{
+    ChangedRows, RowRange, StoreCall, TableName, TableRow, config_row, group_service, read_call,
+    server_row, write_names, write_rows,
+};
+use routes::{RouteTable, ServerRecord};
+use store::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, ServerEntry, ServerState};
 
 use crate::web::{WebBody, WebServer, never};
 
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreBehaviour {
+    /// Answers.
+    #[default]
+    Serve,
+    /// Closes connections without an answer.
+    Reset,
+    /// Answers with this status.
+    Refuse(u16),
+    /// Never answers calls that come or are pending meanwhile.
+    Silent,
+}
+
 /// A platform that can be slow, down, or lose answers after they took effect.
 pub struct PlatformStandIn {
     server: WebServer,
@@ -28,15 +47,29 @@
 struct PlatformState {
     table: MemoryTable,
     objects: Mutex<BTreeMap<Box<str>, Bytes>>,
-    servers: Mutex<(u64, Vec<ServerEntry>)>,
+    rows: Mutex<RowLog>,
+    changed: Notify,
+    behaviour: Mutex<StoreBehaviour>,
     is_down: AtomicBool,
     delay_ms: AtomicU64,
     /// Commits whose answers are still to be lost after they took effect.
     lost_answers: AtomicU64,
+    /// Listings that are still to be answered with the rows of this version.
+    stale: Mutex<Option<ChangedRows>>,
     reads: AtomicU64,
     commits: AtomicU64,
 }
 
+/// Rows that operators and servers wrote.
+#[derive(Default)]
+struct RowLog {
+    version: u64,
+    /// Changes up to here are forgotten.
+    forgotten: u64,
+    /// Deleted rows stay, marked.
+    rows: BTreeMap<(Box<str>, Box<str>), TableRow>,
+}
+
 impl PlatformStandIn {
     /// Starts an empty platform.
     pub async fn start() -> Self {
@@ -75,21 +108,88 @@
         self.state.lost_answers.store(count, Ordering::SeqCst);
     }
 
-    /// Replaces the list of backend servers.
+    /// Changes how calls are treated from now on, those that are pending too.
+    pub fn set_behaviour(&self, behaviour: StoreBehaviour) {
+        *self.state.behaviour.lock().expect("behaviour lock is never poisoned") = behaviour;
+        self.state.changed.notify_waiters();
+    }
+
+    /// Replaces the list of backend servers of the product's own interface.
     pub fn set_servers(&self, servers: Vec<ServerEntry>) {
-        let mut list = self.state.servers.lock().expect("list lock is never poisoned");
-        *list = (list.0 + 1, servers);
+        let records: Vec<ServerRecord> = servers.iter().map(record_of).collect();
+        self.set_records(&records);
     }
 
     /// Changes what the list says of one backend server.
     pub fn set_server_state(&self, id: &str, state: ServerState) {
-        let mut list = self.state.servers.lock().expect("list lock is never poisoned");
-        list.0 += 1;
-        for entry in list.1.iter_mut().filter(|entry| entry.id.as_str() == id) {
-            entry.state = state;
+        let id: ServerId = id.parse().expect("the name is valid");
+        let known = self.state.row(TableName::Servers, id.as_str());
+        let Ok(routes::ServerChange::Present(record)) =
+            platform::read_server_row(&known.expect("the server is listed"))
+        else {
+            panic!("the entry of {id} can't be read");
+        };
+        let is_leaving = state == ServerState::Leaving;
+        self.put_server(&ServerRecord { is_leaving, sequence: record.sequence + 1, ..record });
+    }
+
+    /// Replaces the whole list of servers.
+    pub fn set_records(&self, records: &[ServerRecord]) {
+        let listed = self.state.log().keys(TableName::Servers);
+        for key in listed {
+            if !records.iter().any(|record| record.id.as_str() == &*key) {
+                self.remove_server(&key);
+            }
+        }
+        for record in records {
+            self.put_server(record);
         }
     }
 
+    /// Writes a server's entry.
+    pub fn put_server(&self, record: &ServerRecord) {
+        self.state.put(TableName::Servers, server_row(record));
+    }
+
+    /// Writes an entry with any content.
+    pub fn put_raw(&self, table: TableName, key: &str, value: &str) {
+        let value = Bytes::copy_from_slice(value.as_bytes());
+        let row =
+            TableRow { part: "".into(), key: key.into(), value, version: 0, is_deleted: false };
+        self.state.put(table, row);
+    }
+
+    /// Removes a server's entry.
+    pub fn remove_server(&self, id: &str) {
+        let row = TableRow {
+            part: "".into(),
+            key: id.into(),
+            value: Bytes::new(),
+            version: 0,
+            is_deleted: true,
+        };
+        self.state.put(TableName::Servers, row);
+    }
+
+    /// Writes the operator's configuration.
+    pub fn put_config(&self, table: &RouteTable) {
+        self.state.put(TableName::Operator, config_row(table));
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget_history(&self) {
+        let mut log = self.state.log();
+        log.forgotten = log.version;
+        drop(log);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Answers the next listing with the servers as they are now, whatever changes until then.
+    pub fn keep_stale_listing(&self) {
+        let listed = self.state.log().changed(TableName::Servers, 0, true);
+        *self.state.stale.lock().expect("stale lock is never poisoned") = Some(listed);
+    }
+
     /// Reads and scans so far.
     pub fn reads(&self) -> u64 {
         self.state.reads.load(Ordering::SeqCst)
@@ -101,43 +201,179 @@
     }
 }
 
+impl RowLog {
+    fn keys(&self, table: TableName) -> Vec<Box<str>> {
+        self.changed(table, 0, true).rows.into_iter().map(|row| row.key).collect()
+    }
+
+    /// Rows changed after a version, in the order of their changes or keys.
+    fn changed(&self, table: TableName, after: u64, only_present: bool) -> ChangedRows {
+        let name = table.to_string();
+        let mut rows: Vec<TableRow> = self
+            .rows
+            .iter()
+            .filter(|((table, _), row)| **table == *name && row.version > after)
+            .filter(|(_, row)| !(only_present && row.is_deleted))
+            .map(|(_, row)| row.clone())
+            .collect();
+        if !only_present {
+            rows.sort_by_key(|row| row.version);
+        }
+        ChangedRows { rows, version: self.version }
+    }
+}
+
 impl PlatformState {
+    fn log(&self) -> MutexGuard<'_, RowLog> {
+        self.rows.lock().expect("row lock is never poisoned")
+    }
+
+    fn row(&self, table: TableName, key: &str) -> Option<TableRow> {
+        self.log().rows.get(&(table.to_string().into(), key.into())).cloned()
+    }
+
+    fn put(&self, table: TableName, mut row: TableRow) {
+        let mut log = self.log();
+        log.version += 1;
+        row.version = log.version;
+        log.rows.insert((table.to_string().into(), row.key.clone()), row);
+        drop(log);
+        self.changed.notify_waiters();
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Option<Response<WebBody>> {
         let method = request.method().clone();
-        let path = request.uri().path().to_owned();
+        let uri = request.uri().clone();
         let body = request.into_body().collect().await.ok()?.to_bytes();
         let delay = self.delay_ms.load(Ordering::SeqCst);
         if delay > 0 {
             sleep(Duration::from_millis(delay)).await;
         }
-        if path == "/vms/list" {
-            return Some(self.list(&serde_json::from_slice(&body).ok()?));
+        let call = match read_call(&method, &uri, body) {
+            Ok(call) => call,
+            Err(reason) => return Some(status(StatusCode::BAD_REQUEST, reason)),
+        };
+        if let Some(end) = self.refuse().await {
+            return end;
         }
-        if self.is_down.load(Ordering::SeqCst) {
-            return None;
+        self.serve(call).await
+    }
+
+    /// How a call ends that is not served.
+    async fn refuse(&self) -> Option<Option<Response<WebBody>>> {
+        let behaviour = *self.behaviour.lock().expect("behaviour lock is never poisoned");
+        match behaviour {
+            StoreBehaviour::Serve => None,
+            StoreBehaviour::Reset => Some(None),
+            StoreBehaviour::Refuse(code) => {
+                let code = StatusCode::from_u16(code).expect("a status");
+                Some(Some(status(code, String::new())))
+            }
+            StoreBehaviour::Silent => std::future::pending().await,
         }
-        if let Some(name) = path.strip_prefix("/objects/").filter(|_| method != Method::POST) {
-            return Some(self.object(&method, name, body));
+    }
+
+    async fn serve(&self, call: StoreCall) -> Option<Response<WebBody>> {
+        let is_of_product = !matches!(
+            call,
+            StoreCall::Rows(TableName::Operator | TableName::Servers, _) | StoreCall::Feed(..)
+        );
+        if is_of_product && self.is_down.load(Ordering::SeqCst) {
+            return None;
         }
-        let message: Value = serde_json::from_slice(&body).ok()?;
-        match path.as_str() {
-            "/table/read" => {
+        match call {
+            StoreCall::Rows(TableName::Product, range) => {
                 self.reads.fetch_add(1, Ordering::SeqCst);
-                Some(answer(&self.table.read(message["key"].as_str()?)))
+                Some(whole(self.product_rows(&range)))
             }
-            "/table/scan" => {
-                self.reads.fetch_add(1, Ordering::SeqCst);
-                Some(answer(&self.table.scan(&serde_json::from_value(message).ok()?)))
+            StoreCall::Rows(table, _) => Some(whole(self.listing(table))),
+            StoreCall::Feed(table, after, wait) => self.feed(table, after, wait).await,
+            StoreCall::Commit(request) => self.commit(&request),
+            StoreCall::PutObject(name, content) => {
+                self.objects().insert(name, content);
+                Some(whole(Bytes::new()))
+            }
+            StoreCall::GetObject(name) => Some(match self.objects().get(&name) {
+                Some(content) => whole(content.clone()),
+                None => status(StatusCode::NOT_FOUND, String::new()),
+            }),
+            StoreCall::DropObject(name) => {
+                self.objects().remove(&name);
+                Some(whole(Bytes::new()))
+            }
+            StoreCall::ListObjects(prefix, after) => {
+                let names = self.objects().keys().cloned().collect::<Vec<_>>();
+                let wanted = |name: &Box<str>| name.starts_with(&*prefix) && *name > after;
+                Some(whole(write_names(names.into_iter().filter(wanted).collect())))
+            }
+        }
+    }
+
+    fn objects(&self) -> MutexGuard<'_, BTreeMap<Box<str>, Bytes>> {
+        self.objects.lock().expect("object lock is never poisoned")
+    }
+
+    fn listing(&self, table: TableName) -> Bytes {
+        let stale = self.stale.lock().expect("stale lock is never poisoned").take();
+        let listed = stale.unwrap_or_else(|| self.log().changed(table, 0, true));
+        write_rows(&listed, false)
+    }
+
+    fn product_rows(&self, range: &RowRange) -> Bytes {
+        let limit = range.limit.unwrap_or(usize::MAX);
+        let request = ScanRequest { prefix: "".into(), after: "".into(), limit: usize::MAX };
+        let mut rows: Vec<TableRow> = self
+            .table
+            .scan(&request)
+            .into_iter()
+            .filter(|row| row.key >= range.from)
+            .filter(|row| range.to.as_ref().is_none_or(|to| row.key < *to))
+            .take(limit.saturating_add(1))
+            .map(|row| TableRow {
+                part: "".into(),
+                key: row.key,
+                value: row.value.to_string().into(),
+                version: row.version,
+                is_deleted: false,
+            })
+            .collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        write_rows(&ChangedRows { rows, version }, has_more)
+    }
+
+    async fn feed(
+        &self,
+        table: TableName,
+        after: u64,
+        wait: Duration,
+    ) -> Option<Response<WebBody>> {
+        let until = Instant::now() + wait;
+        loop {
+            let notified = self.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            if let Some(end) = self.refuse().await {
+                return end;
+            }
+            let (changed, forgotten) = {
+                let log = self.log();
+                (log.changed(table, after, false), log.forgotten)
+            };
+            if after < forgotten {
+                return Some(status(StatusCode::GONE, String::new()));
             }
-            "/table/commit" => self.commit(message),
-            "/objects/list" => Some(self.object_names(message["prefix"].as_str()?)),
-            _ => Some(empty(StatusCode::NOT_FOUND)),
+            if !changed.rows.is_empty() || Instant::now() >= until {
+                return Some(whole(write_rows(&changed, false)));
+            }
+            let _ = timeout_at(until, notified).await;
         }
     }
 
-    fn commit(&self, message: Value) -> Option<Response<WebBody>> {
+    fn commit(&self, request: &CommitRequest) -> Option<Response<WebBody>> {
         self.commits.fetch_add(1, Ordering::SeqCst);
-        let outcome = self.table.commit(&serde_json::from_value(message).ok()?);
+        let outcome = self.table.commit(request);
         let is_lost = self
             .lost_answers
             .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
@@ -146,53 +382,50 @@
             return None;
         }
         match outcome {
-            CommitOutcome::Done(version) => Some(answer(&CommitAnswer::Done(version))),
-            CommitOutcome::Conflict(keys) => Some(answer(&CommitAnswer::Conflict(keys))),
-            CommitOutcome::Unknown(_) => None,
-        }
-    }
-
-    fn list(&self, message: &Value) -> Response<WebBody> {
-        let list = self.servers.lock().expect("list lock is never poisoned");
-        let is_known = message["known_version"].as_u64() == Some(list.0);
-        let entries = (!is_known).then(|| list.1.clone());
-        answer(&ServerList { version: list.0, entries })
-    }
-
-    fn object(&self, method: &Method, name: &str, body: Bytes) -> Response<WebBody> {
-        let mut objects = self.objects.lock().expect("object lock is never poisoned");
-        match *method {
-            Method::PUT => {
-                objects.insert(name.into(), body);
-                answer(&json!({}))
+            CommitOutcome::Done(version) => {
+                Some(whole(write_rows(&ChangedRows { rows: Vec::new(), version }, false)))
             }
-            Method::GET => match objects.get(name) {
-                Some(content) => whole(content.clone()),
-                None => empty(StatusCode::NOT_FOUND),
-            },
-            _ => {
-                objects.remove(name);
-                answer(&json!({}))
+            CommitOutcome::Conflict(_) => {
+                let rows = request.conditions.iter().filter_map(|condition| {
+                    let row = self.table.read(&condition.key)?;
+                    Some(TableRow {
+                        part: "".into(),
+                        key: row.key,
+                        value: row.value.to_string().into(),
+                        version: row.version,
+                        is_deleted: false,
+                    })
+                });
+                let current = ChangedRows { rows: rows.collect(), version: 0 };
+                let mut answer = whole(write_rows(&current, false));
+                *answer.status_mut() = StatusCode::PRECONDITION_FAILED;
+                Some(answer)
             }
+            CommitOutcome::Unknown(_) => None,
         }
     }
-
-    fn object_names(&self, prefix: &str) -> Response<WebBody> {
-        let objects = self.objects.lock().expect("object lock is never poisoned");
-        answer(&objects.keys().filter(|name| name.starts_with(prefix)).collect::<Vec<_>>())
-    }
 }
 
-fn answer<T: Serialize>(value: &T) -> Response<WebBody> {
-    whole(serde_json::to_vec(value).expect("stand-in answers are JSON").into())
+fn record_of(entry: &ServerEntry) -> ServerRecord {
+    ServerRecord {
+        id: entry.id.clone(),
+        born_ms: 0,
+        sequence: 1,
+        address: entry.address,
+        service: group_service(entry.account.as_str(), entry.group.as_str()),
+        zone: entry.zone.clone(),
+        slots: 1,
+        is_leaving: entry.state == ServerState::Leaving,
+        warmup_left: Duration::ZERO,
+    }
 }
 
 fn whole(content: Bytes) -> Response<WebBody> {
     Response::new(Full::new(content).map_err(never).boxed_unsync())
 }
 
-fn empty(status: StatusCode) -> Response<WebBody> {
-    let mut response = whole(Bytes::new());
-    *response.status_mut() = status;
+fn status(code: StatusCode, text: String) -> Response<WebBody> {
+    let mut response = whole(text.into());
+    *response.status_mut() = code;
     response
 }
