--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -302,9 +302,9 @@
                 Some(whole(Bytes::new()))
             }
             StoreCall::ListObjects(prefix, after) => {
-                let names = self.objects().keys().cloned().collect::<Vec<_>>();
-                let wanted = |name: &Box<str>| name.starts_with(&*prefix) && *name > after;
-                Some(whole(write_names(names.into_iter().filter(wanted).collect())))
+                let mut names: Vec<Box<str>> = self.objects().keys().cloned().collect();
+                names.retain(|name| name.starts_with(&*prefix) && *name > after);
+                Some(whole(write_names(names)))
             }
         }
     }
