Know configuration and servers at once after a start

Change: a VM asks the store itself for its first 1.5 s, and a request that arrives before the first configuration waits for it for 0.1 s at most.

--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
+use tokio::time::{Duration, timeout};
+
 use model::RevisionNumber;
 use routes::RouteTable;
 
@@ -13,6 +16,8 @@
     routes: ArcSwapOption<RouteTable>,
     /// Whether a first list of backend servers has come.
     has_servers: AtomicBool,
+    /// Tells those that wait for the first configuration and list.
+    learned: Notify,
     draining: AtomicBool,
 }
 
@@ -29,6 +34,7 @@
             return false;
         }
         self.routes.store(Some(Arc::new(table)));
+        self.learned.notify_waiters();
         true
     }
 
@@ -40,6 +46,33 @@
     /// Notes that the first list of backend servers has come.
     pub fn note_servers(&self) {
         self.has_servers.store(true, Ordering::Release);
+        self.learned.notify_waiters();
+    }
+
+    /// The configuration in force. Right after the start this waits, for at most `patience`, until
+    /// there is one and a list of servers.
+    pub async fn first_routes(&self, patience: Duration) -> Option<Arc<RouteTable>> {
+        if !self.knows_enough() {
+            // Without both in time the caller answers that nothing is known.
+            let _ = timeout(patience, self.learn()).await;
+        }
+        self.routes()
+    }
+
+    async fn learn(&self) {
+        loop {
+            let learned = self.learned.notified();
+            tokio::pin!(learned);
+            learned.as_mut().enable();
+            if self.knows_enough() {
+                return;
+            }
+            learned.await;
+        }
+    }
+
+    fn knows_enough(&self) -> bool {
+        self.has_servers.load(Ordering::Acquire) && self.routes.load().is_some()
     }
 
     /// Notes that shutdown has begun.
--- a/components/daemon/src/hosted/following.rs
+++ b/components/daemon/src/hosted/following.rs
@@ -29,6 +29,9 @@
 /// Mean time for which the store is asked directly before a relay is tried again.
 const DIRECT_TIME: Duration = Duration::from_secs(6);
 
+/// The same after the start.
+const FIRST_DIRECT_TIME: Duration = Duration::from_millis(1_500);
+
 /// What following needs.
 #[derive(Clone)]
 pub(crate) struct FollowingParts {
@@ -78,19 +81,25 @@
 
     /// Follows until it is dropped.
     pub(crate) async fn run(self) {
+        // At first the store itself: after a loss of all VMs the relays know nothing yet.
+        self.follow_store(jittered(FIRST_DIRECT_TIME)).await;
         loop {
             if let Some(relay) = self.choose_relay() {
                 let end = self.follow_relay(relay).await;
                 info!(self.parts.log, "relay: lost, asking the store"; "relay" => %relay,
                     "reason" => %end);
             }
-            // A relay asks the store for as long as it lives.
-            let until = Instant::now() + jittered(DIRECT_TIME);
-            tokio::select! {
-                () = self.follow_config() => {}
-                () = self.follow_servers() => {}
-                () = sleep_until(until), if !self.parts.relays.is_empty() => {}
-            }
+            self.follow_store(jittered(DIRECT_TIME)).await;
+        }
+    }
+
+    /// Asks the store itself, for a while where there are relays.
+    async fn follow_store(&self, time: Duration) {
+        let until = Instant::now() + time;
+        tokio::select! {
+            () = self.follow_config() => {}
+            () = self.follow_servers() => {}
+            () = sleep_until(until), if !self.parts.relays.is_empty() => {}
         }
     }
 
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -29,6 +29,10 @@
 /// Bytes of an answer that are expected where nothing was measured. The users' answers have 5 KB.
 const USUAL_ANSWER_BYTES: u64 = 5_000;
 
+/// How long a request waits for the first configuration and list of servers, which come within some
+/// 20 ms of the start. An eighth of the users' longest target.
+const FIRST_ROUTES_TIME: Duration = Duration::from_millis(100);
+
 /// What a handler depends on that settings say.
 #[derive(Debug, Clone, Copy)]
 pub struct HostedOptions {
@@ -106,7 +110,7 @@
             progress: DispatchProgress::default(),
             elapsed: Duration::ZERO,
         };
-        let table = self.board.routes();
+        let table = self.board.first_routes(FIRST_ROUTES_TIME).await;
         let end = match find_route(table.as_deref(), &request) {
             Ok((table, route)) => {
                 report.route = Some(route);
