Servers of its own for each entry VM of a large fleet; first listing, then relays

Change: in groups of more than 24 servers a VM looks first at 12 that highest random weight gives it, those of its zone first; a VM leaves the store for a relay as soon as it knows both tables.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -1,9 +1,11 @@
 //! The servers of one service, and the choice among them.
 
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
+use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
 use model::{FastMap, ServerId, ZoneName};
@@ -19,6 +21,17 @@
 /// same reports don't ask the same servers.
 const CANDIDATE_NOISE: f64 = 0.3;
 
+/// Servers of a large group that an entry VM looks at first. Its connections to them stay open, and
+/// all entry VMs together still use every server.
+const OWN_SERVERS: usize = 12;
+
+/// Size of a group from which an entry VM has servers of its own.
+const LARGE_GROUP: usize = 24;
+
+/// What a server that is not one of the own costs more when candidates are chosen, in usual times
+/// of the request.
+const DETOUR_PART: f64 = 0.4;
+
 /// Weight of the newest report in the group's mean load.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -28,6 +41,8 @@
 /// What a placement depends on besides the servers.
 #[derive(Debug, Clone)]
 pub struct PlacementOptions {
+    /// This entry VM's name, by which it gets servers of its own in large groups.
+    pub vm: Box<str>,
     /// This entry VM's availability zone.
     pub zone: ZoneName,
     /// What a way to another availability zone and back costs.
@@ -77,6 +92,25 @@
             self.next_serial = self.next_serial.max(serial + 1);
             self.servers.push((serial, state));
         }
+        self.choose_own();
+    }
+
+    /// Chooses this entry VM's own servers by highest random weight, those of its zone first. Few
+    /// of them change when a server joins or leaves.
+    fn choose_own(&mut self) {
+        let is_large = self.servers.len() > LARGE_GROUP;
+        let mut ranks: Vec<(bool, u64, usize)> = Vec::new();
+        for (index, (_, state)) in self.servers.iter_mut().enumerate() {
+            state.is_own = !is_large;
+            if is_large && !state.listed.is_leaving {
+                let is_far = state.listed.zone != self.options.zone;
+                ranks.push((is_far, weight(&self.options.vm, state.listed.id.as_str()), index));
+            }
+        }
+        ranks.sort_unstable();
+        for (_, _, index) in ranks.into_iter().take(OWN_SERVERS) {
+            self.servers[index].1.is_own = true;
+        }
     }
 
     /// Servers that take new work.
@@ -115,10 +149,13 @@
         let total = self.servers.len();
         let compared = total.min(MAX_COMPARED);
         let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared);
+        let own = self.servers.iter().enumerate().filter(|(_, (_, state))| state.is_own);
+        let own: Vec<usize> = own.map(|(index, _)| index).take(OWN_SERVERS).collect();
         for offset in 0..compared {
-            let index = match total <= MAX_COMPARED {
-                true => offset,
-                false => random.random_range(0..total),
+            let index = match (total <= MAX_COMPARED, own.get(offset)) {
+                (true, _) => offset,
+                (false, Some(own)) => *own,
+                (false, None) => random.random_range(0..total),
             };
             let (serial, state) = &self.servers[index];
             let ticket = ServerTicket { index, serial: *serial };
@@ -126,7 +163,9 @@
             if is_out || costs.iter().any(|(_, other)| *other == ticket) {
                 continue;
             }
-            let cost = self.estimate_state(state, shape, now).cost;
+            let detour = if state.is_own { 0.0 } else { DETOUR_PART };
+            let cost =
+                self.estimate_state(state, shape, now).cost + detour * shape.work.as_secs_f64();
             costs.push((cost * (1.0 + CANDIDATE_NOISE * random.random::<f64>()), ticket));
         }
         costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
@@ -276,3 +315,12 @@
         (ejected + 1) as f64 <= self.servers.len() as f64 * MAX_EJECTED_PART
     }
 }
+
+/// Weight of a server for an entry VM; the same wherever it is computed.
+fn weight(vm: &str, server: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(vm.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(server.as_bytes());
+    hasher.finish()
+}
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -71,6 +71,8 @@
     pub(crate) usual_slowness: f64,
     pub(crate) failures: FailureRecord,
     pub(crate) warm_at: Instant,
+    /// Whether this entry VM looks at it before others.
+    pub(crate) is_own: bool,
 }
 
 impl ServerState {
@@ -83,6 +85,7 @@
             usual_slowness,
             failures: FailureRecord::new(),
             warm_at,
+            is_own: true,
         }
     }
 
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -13,7 +13,12 @@
 const WORK: RequestShape = RequestShape { work: Duration::from_millis(200), bytes: 5_000 };
 
 fn group() -> PlacementGroup {
+    group_of("entry-1")
+}
+
+fn group_of(vm: &str) -> PlacementGroup {
     PlacementGroup::new(PlacementOptions {
+        vm: vm.into(),
         zone: "a".parse().unwrap(),
         zone_cost: Duration::from_millis(1),
         zone_cost_per_kib: Duration::from_millis(2),
@@ -165,3 +170,30 @@
     }
     assert_eq!(all(&group, now), [only]);
 }
+
+#[test]
+fn entry_vms_look_at_few_servers_of_a_large_group_and_together_at_all() {
+    const SERVERS: usize = 120;
+    const VMS: usize = 121;
+    let now = Instant::now();
+    let servers: Vec<PlacedServer> =
+        (0..SERVERS).map(|number| server(&format!("s-{number}"), "a")).collect();
+    let mut random = StdRng::seed_from_u64(7);
+    let mut uses = std::collections::BTreeMap::<String, usize>::new();
+    for number in 0..VMS {
+        let mut group = group_of(&format!("entry-{number}"));
+        group.set_servers(&servers, now);
+        let mut own = std::collections::BTreeSet::new();
+        for _ in 0..50 {
+            for ticket in group.candidates(3, WORK, &[], now, &mut random) {
+                own.insert(name(&group, ticket));
+            }
+        }
+        assert!(own.len() <= 12, "entry VM {number} looks at {} servers", own.len());
+        for server in own {
+            *uses.entry(server).or_default() += 1;
+        }
+    }
+    assert_eq!(uses.len(), SERVERS);
+    assert!(uses.values().all(|uses| *uses <= 30), "{uses:?}");
+}
--- a/components/daemon/src/hosted/following.rs
+++ b/components/daemon/src/hosted/following.rs
@@ -29,7 +29,7 @@
 /// Mean time for which the store is asked directly before a relay is tried again.
 const DIRECT_TIME: Duration = Duration::from_secs(6);
 
-/// The same after the start.
+/// The same at most after the start, until the first configuration and list have come.
 const FIRST_DIRECT_TIME: Duration = Duration::from_millis(1_500);
 
 /// What following needs.
@@ -82,7 +82,12 @@
     /// Follows until it is dropped.
     pub(crate) async fn run(self) {
         // At first the store itself: after a loss of all VMs the relays know nothing yet.
-        self.follow_store(jittered(FIRST_DIRECT_TIME)).await;
+        if !self.parts.relays.is_empty() {
+            tokio::select! {
+                _ = self.parts.board.first_routes(FIRST_DIRECT_TIME) => {}
+                () = self.follow_store(FIRST_DIRECT_TIME) => {}
+            }
+        }
         loop {
             if let Some(relay) = self.choose_relay() {
                 let end = self.follow_relay(relay).await;
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -156,6 +156,7 @@
 
 fn new_services(settings: &HostedSettings) -> HostedServices {
     let placement = PlacementOptions {
+        vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         zone_cost: ZONE_COST,
         zone_cost_per_kib: ZONE_COST_PER_KIB,
