--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -17,6 +17,8 @@
     seconds: Histogram,
     /// Probes sent to backend servers.
     pub probes: IntCounter,
+    /// Requests whose caller left before the answer.
+    pub callers_left: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Calls to the platform's store that failed.
@@ -61,6 +63,7 @@
         };
         Self {
             probes: counter("mustardrail_probes_total", "Probes sent."),
+            callers_left: counter("mustardrail_callers_left_total", "Callers that left."),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             version: gauge("mustardrail_config_version", "Configuration version in force."),
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -99,12 +99,12 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerStream>, Infallible> {
-        let _counted = CountedRequest::new(&self);
         let arrived_at = Instant::now();
         let (head, incoming) = request.into_parts();
         let request = Request::from_parts(head, ());
         let id = request.headers().get(&self.wire.headers.request_id).cloned();
         let came_in_chunks = came_in_chunks(request.headers());
+        let mut counted = CountedRequest::new(&self, id.as_ref());
         let mut report = RequestReport {
             id: id.as_ref(),
             route: None,
@@ -120,6 +120,7 @@
             Err(refusal) => Err(refusal),
         };
         report.elapsed = arrived_at.elapsed();
+        counted.is_ended = true;
         self.note_end(&report, &end);
         let mut response = match end {
             Ok(reply) => reply.response,
@@ -208,7 +209,7 @@
             Err(_) => RequestOutcome::Unknown,
         };
         self.metrics.count_request(outcome, report.elapsed);
-        let id = report.id.and_then(|id| id.to_str().ok()).unwrap_or("");
+        let id = text_of(report.id);
         let millis = report.elapsed.as_millis() as u64;
         let progress = &report.progress;
         match end {
@@ -224,22 +225,36 @@
     }
 }
 
-/// Counts a request until it has its answer or is cancelled.
-struct CountedRequest<'a>(&'a HostedHandler);
+/// Counts a request until it has its answer. Dropped before, its caller has left.
+struct CountedRequest<'a> {
+    handler: &'a HostedHandler,
+    id: Option<&'a HeaderValue>,
+    arrived_at: Instant,
+    is_ended: bool,
+}
 
 impl<'a> CountedRequest<'a> {
-    fn new(handler: &'a HostedHandler) -> Self {
+    fn new(handler: &'a HostedHandler, id: Option<&'a HeaderValue>) -> Self {
         handler.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self(handler)
+        Self { handler, id, arrived_at: Instant::now(), is_ended: false }
     }
 }
 
 impl Drop for CountedRequest<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.handler.in_flight.fetch_sub(1, Ordering::AcqRel);
+        if !self.is_ended {
+            self.handler.metrics.callers_left.inc();
+            info!(self.handler.log, "request: caller left"; "id" => text_of(self.id),
+                "ms" => self.arrived_at.elapsed().as_millis() as u64);
+        }
     }
 }
 
+fn text_of(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
 fn find_route<'a>(
     table: Option<&'a RouteTable>,
     request: &Request<()>,
--- a/components/testkit/examples/soak.rs
+++ b/components/testkit/examples/soak.rs
@@ -19,8 +19,8 @@
   --minutes M    how long faults come (0.2)
   --size SIZE    few: 3 daemons, 6 servers; many: 12 daemons, 24 servers (few)
 
-Exit status 1 when a promise was broken. Daemons log into the file that
-MUSTARDRAIL_TEST_LOG names.
+Exit status 1 when a promise was broken; the faults, what was broken and the
+daemons' logs are printed then.
 ";
 
 struct Arguments {
@@ -59,6 +59,7 @@
             failed.push(seed);
             report.faults.iter().for_each(|fault| println!("  {fault}"));
             report.broken.iter().for_each(|broken| println!("  BROKEN: {broken}"));
+            report.logs.iter().for_each(|log| println!("  log: {log}"));
         }
     }
     println!("{} of {} seeds failed: {failed:?}", failed.len(), arguments.seeds);
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -1,7 +1,7 @@
 //! A hosted fleet: the platform's store, servers that speak its way, and daemons as processes.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,7 +13,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use balance::LoadFigures;
@@ -293,6 +293,7 @@
 /// A hosted daemon as a process; it is killed when dropped.
 pub struct HostedDaemon {
     child: Child,
+    log: PathBuf,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where readiness is asked for.
@@ -321,15 +322,29 @@
         let name = format!("mustardrail-hosted-{}-{}.json", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
+        let log = path.with_extension("log");
+        let output = std::fs::File::create(&log).expect("the temporary folder can be written");
         let child = Command::new(program)
             .arg("--hosted")
             .arg(&path)
             .stdin(Stdio::null())
-            .stdout(log_target())
+            .stdout(output)
             .stderr(log_target())
             .spawn()
             .expect("the daemon can be started");
-        Self { child, callers, readiness }
+        Self { child, log, callers, readiness }
+    }
+
+    /// Lines that it has logged so far which hold a text.
+    pub fn log_lines(&self, text: &str) -> Vec<Value> {
+        let log = std::fs::read_to_string(&self.log).expect("the log can be read");
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(|line| serde_json::from_str(line).expect("log lines are JSON")).collect()
+    }
+
+    /// Where its log lies.
+    pub fn log_path(&self) -> &Path {
+        &self.log
     }
 
     /// The status with which it answers a question for readiness.
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -107,6 +107,13 @@
         Arc::clone(&self.callers)
     }
 
+    /// Where the daemons' logs lie.
+    pub(crate) fn logs(&self) -> Vec<Box<str>> {
+        let living = self.daemons.iter().map(|daemon| &daemon.process);
+        let all = living.chain(&self.ending);
+        all.map(|daemon| daemon.log_path().display().to_string().into()).collect()
+    }
+
     fn spawn(&self, relay: SocketAddr) -> HostedDaemon {
         let store = self.store_relay.address;
         HostedDaemon::start_with(&self.program, store, relay, &self.relays)
--- a/components/testkit/src/soak/mod.rs
+++ b/components/testkit/src/soak/mod.rs
@@ -53,6 +53,8 @@
     pub faults: Vec<Box<str>>,
     /// Broken promises.
     pub broken: Vec<Box<str>>,
+    /// Logs of the daemons that lived at the end.
+    pub logs: Vec<Box<str>>,
 }
 
 /// Runs a soak. The same seed brings the same faults at the same times.
@@ -75,5 +77,6 @@
     let calls: Vec<CallRecord> = load.await.unwrap_or_default();
     let broken = check(&mut fleet, &calls).await;
     let served = calls.iter().filter(|call| call.status == Some(200)).count();
-    SoakReport { calls: calls.len(), served, faults, broken }
+    let logs = fleet.logs();
+    SoakReport { calls: calls.len(), served, faults, broken, logs }
 }
--- a/tests/hosted_changes.rs
+++ b/tests/hosted_changes.rs
@@ -135,11 +135,15 @@
     .await;
 }
 
+/// Requests that show that one of three servers is out of use: by chance, this many would miss it once
+/// in 10^10 runs.
+const TELLING_REQUESTS: usize = 60;
+
 /// Waits until a server gets no requests, and checks that it stays so.
 async fn wait_unused(fleet: &HostedFleet, server: &HostedServer) {
     eventually("the server gets no requests", async || {
         let before = server.arrivals();
-        for _ in 0..10 {
+        for _ in 0..TELLING_REQUESTS {
             assert_eq!(call(&fleet.order("one stone")).await.expect("answered").status, 200);
         }
         server.arrivals() == before
