--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -17,9 +17,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use balance::{RequestShape, ServerTicket};
-use model::jittered;
+use model::{RevisionNumber, jittered};
 use observe::HostedMetrics;
-use routes::{HostedRoute, RepeatRule, WireInterface};
+use routes::{HostedRoute, RepeatRule, ServiceName, WireInterface};
 
 use crate::dispatch::RequestHead;
 use crate::hosted::attempt::{
@@ -72,6 +72,12 @@
 /// What has happened to a request, for decisions and for its log line.
 #[derive(Default)]
 pub(crate) struct DispatchProgress {
+    /// The service that it was meant for.
+    pub(crate) service: Option<ServiceName>,
+    /// Version of the configuration by which it was routed.
+    pub(crate) config: Option<RevisionNumber>,
+    /// Expected wait and run at the server looked at last.
+    pub(crate) expected: Duration,
     /// Servers that it was sent to, or that could not be reached.
     pub(crate) tried: Vec<ServerTicket>,
     /// Sends that reached a server.
@@ -198,10 +204,11 @@
                 return Err(HostedRefusal::NoServer);
             };
             let now = Instant::now();
+            let expected = Duration::from_secs_f64(place.estimate.wait + place.estimate.run);
+            self.progress.expected = expected;
             if now + self.shape.work > self.deadline {
                 return Err(HostedRefusal::Busy(self.come_back()));
             }
-            let expected = Duration::from_secs_f64(place.estimate.wait + place.estimate.run);
             let is_in_time = now + expected <= self.target_at;
             let is_free = place.estimate.wait <= 0.0;
             if is_in_time || is_free {
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -12,7 +12,7 @@
 
 use balance::RequestShape;
 use board::HostedBoard;
-use observe::{HostedMetrics, Logger, RequestOutcome, info};
+use observe::{HostedMetrics, Logger, RequestOutcome, info, o};
 use routes::{CallerLimits, HostedRoute, RouteTable, WireInterface};
 
 use crate::body::{AnswerStream, BodyError};
@@ -150,6 +150,8 @@
         let deadline = now + asked.min(route.timeout);
         let service = self.services.service(&self.memories.next_service(route));
         service.budget().note_request(now);
+        progress.service = Some(service.name.clone());
+        progress.config = Some(table.version);
         let body = self.read_body(table, incoming, deadline).await?;
         let sent_bytes = body.known_bytes() as u64;
         let shape = RequestShape {
@@ -169,7 +171,7 @@
             shape,
             deadline,
             target_at: now + route.target.saturating_sub(spent),
-            progress: DispatchProgress::default(),
+            progress: std::mem::take(progress),
         };
         let sent_at = Instant::now();
         let end = dispatch.run().await;
@@ -212,13 +214,16 @@
         let id = text_of(report.id);
         let millis = report.elapsed.as_millis() as u64;
         let progress = &report.progress;
+        let service = progress.service.as_ref().map_or("", |service| &*service.0);
+        let config = progress.config.map(|version| version.0);
+        let inputs = o!("id" => id.to_owned(), "route" => route.to_owned(),
+            "service" => service.to_owned(), "config" => config, "sends" => progress.sends,
+            "expected_ms" => progress.expected.as_millis() as u64, "ms" => millis);
         match end {
-            Ok(reply) => info!(self.log, "request: answered"; "id" => id, "route" => route,
+            Ok(reply) => info!(self.log, "request: answered"; inputs,
                 "status" => reply.response.status().as_u16(), "server" => reply.server.as_str(),
-                "sends" => progress.sends, "ms" => millis,
                 "report_age_ms" => reply.report_age.map(|age| age.as_millis() as u64)),
-            Err(refusal) => info!(self.log, "request: refused"; "id" => id, "route" => route,
-                "reason" => %refusal, "sends" => progress.sends, "ms" => millis,
+            Err(refusal) => info!(self.log, "request: refused"; inputs, "reason" => %refusal,
                 "not_run" => progress.last_not_run.map(|reason| reason.to_string()),
                 "unknown" => progress.last_unknown.map(|reason| reason.to_string())),
         }
