Ask no servers that don't tell their load; name the server in refusals

Where a service tells no load, a health check waits for a slot like a request: it is not asked any more after six answers without figures.

The store refused calls from 7.1 s to the end of the faults at 15.0 s; the check took the begin of that outage for its end (9.2 s, the last harm) and allowed 5 s from there. The bound stands as before, counted from when the store is well again.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -32,6 +32,9 @@
 /// of the request.
 const DETOUR_PART: f64 = 0.4;
 
+/// Health checks without a report after which a group counts as one that doesn't tell its load.
+const BLANK_ANSWERS: u32 = 6;
+
 /// Weight of the newest report in the group's mean load.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -60,6 +63,9 @@
     means: GroupMeans,
     /// Smoothed slowness over all reports.
     usual_slowness: f64,
+    has_reports: bool,
+    /// Health checks that were answered without a report before there was any.
+    blank_answers: u32,
 }
 
 impl PlacementGroup {
@@ -71,9 +77,22 @@
             next_serial: 0,
             means: GroupMeans { others_per_slot: 0.0 },
             usual_slowness: 1.0,
+            has_reports: false,
+            blank_answers: 0,
         }
     }
 
+    /// Whether it is worth asking the servers for their load. Where they don't tell it, a health
+    /// check takes a slot like any other request.
+    pub fn is_worth_asking(&self) -> bool {
+        self.has_reports || self.blank_answers < BLANK_ANSWERS
+    }
+
+    /// Notes a health check that was answered without a report.
+    pub fn note_blank_answer(&mut self) {
+        self.blank_answers += 1;
+    }
+
     /// Sets the servers. What is known of a life of a server stays; another life starts anew.
     pub fn set_servers(&mut self, listed: &[PlacedServer], now: Instant) {
         let mut known: FastMap<ServerId, (u64, ServerState)> = self
@@ -249,6 +268,7 @@
         let per_slot = others / f64::from(state.listed.slots);
         self.means.others_per_slot += (per_slot - self.means.others_per_slot) * MEAN_WEIGHT;
         self.usual_slowness += (figures.slowness - self.usual_slowness) * MEAN_WEIGHT;
+        self.has_reports = true;
     }
 
     /// Takes in how an exchange with a server ended.
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -197,3 +197,19 @@
     assert_eq!(uses.len(), SERVERS);
     assert!(uses.values().all(|uses| *uses <= 30), "{uses:?}");
 }
+
+#[test]
+fn servers_that_do_not_tell_their_load_are_soon_not_asked() {
+    let now = Instant::now();
+    let mut group = group();
+    group.set_servers(&[server("one", "a"), server("two", "a")], now);
+    assert!(group.is_worth_asking());
+    for _ in 0..10 {
+        group.note_blank_answer();
+    }
+    assert!(!group.is_worth_asking());
+    // One report, from an answer or a check, shows that the service tells it.
+    let one = ticket(&group, "one", now);
+    group.take_report(one, report(0, 0, 1.0), now);
+    assert!(group.is_worth_asking());
+}
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use balance::{RequestShape, ServerTicket};
-use model::{RevisionNumber, jittered};
+use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
 use routes::{HostedRoute, RepeatRule, ServiceName, WireInterface};
 
@@ -80,6 +80,8 @@
     pub(crate) expected: Duration,
     /// Servers that it was sent to, or that could not be reached.
     pub(crate) tried: Vec<ServerTicket>,
+    /// The server that it was sent to last.
+    pub(crate) last_server: Option<ServerId>,
     /// Sends that reached a server.
     pub(crate) sends: u32,
     /// Whether a send may have begun to run it and has no answer.
@@ -260,6 +262,7 @@
         let is_sent = Arc::new(AtomicBool::new(false));
         flags.push(Arc::clone(&is_sent));
         self.progress.tried.push(place.lease.ticket);
+        self.progress.last_server = place.lease.server();
         self.progress.sends += 1;
         let plan = AttemptPlan {
             wire: Arc::clone(self.wire),
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -12,6 +12,7 @@
 
 use balance::RequestShape;
 use board::HostedBoard;
+use model::ServerId;
 use observe::{HostedMetrics, Logger, RequestOutcome, info, o};
 use routes::{CallerLimits, HostedRoute, RouteTable, WireInterface};
 
@@ -224,6 +225,7 @@
                 "status" => reply.response.status().as_u16(), "server" => reply.server.as_str(),
                 "report_age_ms" => reply.report_age.map(|age| age.as_millis() as u64)),
             Err(refusal) => info!(self.log, "request: refused"; inputs, "reason" => %refusal,
+                "server" => progress.last_server.as_ref().map(ServerId::as_str),
                 "not_run" => progress.last_not_run.map(|reason| reason.to_string()),
                 "unknown" => progress.last_unknown.map(|reason| reason.to_string())),
         }
--- a/components/proxy/src/hosted/placing.rs
+++ b/components/proxy/src/hosted/placing.rs
@@ -94,7 +94,8 @@
 
 /// Asks candidates for their load, until one is good enough or the time is over.
 async fn ask(parts: &PlacingParts<'_>, candidates: &[ServerTicket], shape: RequestShape) {
-    let Some(path) = parts.health_path.filter(|_| candidates.len() > 1) else {
+    let is_useful = candidates.len() > 1 && parts.service.group().is_worth_asking();
+    let Some(path) = parts.health_path.filter(|_| is_useful) else {
         return;
     };
     let now = Instant::now();
@@ -163,8 +164,9 @@
         service.group().mark_leaving(ticket);
         return Some(());
     }
-    if let Some(figures) = (wire.read_load)(headers) {
-        service.group().take_report(ticket, figures, Instant::now());
+    match (wire.read_load)(headers) {
+        Some(figures) => service.group().take_report(ticket, figures, Instant::now()),
+        None => service.group().note_blank_answer(),
     }
     let keep_alive = read_keep_alive(headers);
     answer.into_body().collect().await.ok()?;
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -8,7 +8,7 @@
 
 use balance::{PlacedServer, PlacementGroup, PlacementOptions, ServerTicket};
 use limits::{ArrivalBudget, ArrivalLimits};
-use model::FastMap;
+use model::{FastMap, ServerId};
 use routes::{ServerRecord, ServiceName};
 
 use crate::pool::ConnectionPool;
@@ -124,6 +124,11 @@
         Self { service: Arc::clone(service), ticket, report_age, is_ended: false }
     }
 
+    /// The server's identity, if it is still known.
+    pub(crate) fn server(&self) -> Option<ServerId> {
+        self.service.group().place(self.ticket).map(|(id, _)| id.clone())
+    }
+
     /// Ends the place with what the exchange showed.
     pub(crate) fn end(
         mut self,
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -57,7 +57,7 @@
     pub(crate) harmed: Vec<SocketAddr>,
     /// Daemons that were asked to end.
     pub(crate) terminated: Vec<SocketAddr>,
-    /// When the store last failed or was cut.
+    /// When the store was last harmed, or came back.
     pub(crate) store_harmed_at: Instant,
     started: usize,
 }
@@ -189,6 +189,7 @@
 
     /// Ends all faults.
     pub(crate) async fn clear(&mut self) {
+        self.store_harmed_at = Instant::now();
         self.platform.set_behaviour(StoreBehaviour::Serve);
         self.platform.set_delay(Duration::ZERO);
         self.thaw();
