Never call a look-up not run that may have run; deliver answers while placing a second send

Cause, found by reading: after a send that may have run, choosing a server for the next one could end in a refusal as not run (503); and while a second send looked for its server, an answer to the first was not taken.

Change: such a refusal is 502; the first send is listened to while the second is placed.

Test: a look-up that ran and then found no server got 503 before and gets 502 now.

--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -98,7 +98,7 @@
         let mut flags: AttemptFlags = Vec::new();
         let end = timeout_at(self.deadline + ANSWER_MARGIN, self.run_tries(&mut flags)).await;
         match end {
-            Ok(end) => end,
+            Ok(end) => end.map_err(|refusal| self.with_earlier_sends(refusal)),
             Err(_) => {
                 let is_sent = flags.iter().any(|flag| flag.load(Ordering::Acquire));
                 Err(self.refusal_at_end(is_sent))
@@ -106,6 +106,14 @@
         }
     }
 
+    /// A refusal never says that the request has not run when an earlier send may have run it.
+    fn with_earlier_sends(&self, refusal: HostedRefusal) -> HostedRefusal {
+        match self.progress.may_have_run && refusal.is_not_run() {
+            true => HostedRefusal::BrokenOff,
+            false => refusal,
+        }
+    }
+
     async fn run_tries(&mut self, flags: &mut AttemptFlags) -> Result<ServerReply, HostedRefusal> {
         let mut tries = FuturesUnordered::new();
         let place = self.place().await?;
@@ -113,21 +121,34 @@
         tries.push(self.start(place, ConnectionTrust::Any, flags));
         let mut may_hedge = self.route.repeat == RepeatRule::Idempotent && self.body.can_send();
         let mut failed: Option<ServerReply> = None;
+        // A send that ended while a place for another one was looked for.
+        let mut ended: Option<Option<AttemptEnd>> = None;
         loop {
-            let end = tokio::select! {
-                end = tries.next() => end,
-                () = sleep_until(hedge_at), if may_hedge && tries.len() == 1 => {
-                    if !self.may_send_again() {
-                        // The budget may allow it a little later.
-                        hedge_at = Instant::now() + HEDGE_PAUSE;
+            let end = match ended.take() {
+                Some(end) => end,
+                None => tokio::select! {
+                    end = tries.next() => end,
+                    () = sleep_until(hedge_at), if may_hedge && tries.len() == 1 => {
+                        if !self.may_send_again() {
+                            // The budget may allow it a little later.
+                            hedge_at = Instant::now() + HEDGE_PAUSE;
+                            continue;
+                        }
+                        may_hedge = false;
+                        let place = tokio::select! {
+                            biased;
+                            end = tries.next() => {
+                                ended = Some(end);
+                                None
+                            }
+                            place = self.place_again() => place,
+                        };
+                        if let Some(place) = place {
+                            tries.push(self.start(place, ConnectionTrust::New, flags));
+                        }
                         continue;
                     }
-                    may_hedge = false;
-                    if let Some(place) = self.place_again().await {
-                        tries.push(self.start(place, ConnectionTrust::New, flags));
-                    }
-                    continue;
-                }
+                },
             };
             let Some(end) = end else {
                 return failed.ok_or_else(|| self.refusal_without_answer());
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -63,6 +63,8 @@
     Fail(u16),
     /// Another server has this address now.
     OtherServer,
+    /// Runs one request and closes its connection; from then on another server has the address.
+    RunAndMove,
 }
 
 /// A request that a server began to run.
@@ -192,6 +194,11 @@
         let text = Bytes::from(format!("{} ran it", self.id));
         let mut response = match behaviour {
             HostedBehaviour::RunAndBreak => return None,
+            HostedBehaviour::RunAndMove => {
+                let moved = HostedBehaviour::OtherServer;
+                *self.behaviour.lock().expect("behaviour lock is never poisoned") = moved;
+                return None;
+            }
             HostedBehaviour::Truncate => truncated(self.runs_so_far().is_multiple_of(2)),
             HostedBehaviour::Fail(status) => {
                 self.respond(StatusCode::from_u16(status).expect("a status"), text)
--- a/tests/hosted_answers.rs
+++ b/tests/hosted_answers.rs
@@ -188,3 +188,29 @@
         assert_eq!((answer.status, answer.text()), (200, "s-1 ran it".into()));
     }
 }
+
+/// A lookup that ran and then found no server is not called not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_may_have_run_is_never_refused_as_not_run() {
+    let fleet = fleet(1).await;
+    let mut routes = testkit::standard_routes();
+    for route in &mut routes {
+        route.max_attempts = 3;
+        // Unlike those of the first configuration, these requests end soon.
+        route.timeout = Duration::from_secs(7);
+    }
+    fleet.platform.put_config(&testkit::hosted_config(2, routes));
+    testkit::eventually("the configuration is in force", async || {
+        !fleet.daemon.log_lines("\"version\":2").is_empty()
+    })
+    .await;
+    // These allow further sends.
+    for _ in 0..20 {
+        assert_eq!(call(&fleet.lookup()).await.expect("answered").status, 200);
+    }
+    fleet.set_behaviour(HostedBehaviour::RunAndMove);
+    let lookup = fleet.lookup();
+    let answer = call(&lookup).await.expect("answered");
+    assert_eq!(fleet.runs_of(&lookup), 1);
+    assert_eq!(answer.status, 502, "{}", answer.text());
+}
