Register and render metrics in one place; one check of a store version

Cause: reading the whole change again found the registration and rendering of metrics twice in observe, the acceptance of a store's version twice in hosted::following, and two methods of PlacementGroup that nothing called.

Behaviour stays. Checked: clippy, the tests of balance, limits, observe and routes, and all 29 whole-process tests of hosted mode passed.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -132,11 +132,6 @@
         }
     }
 
-    /// Servers that take new work.
-    pub fn open_count(&self) -> usize {
-        self.servers.iter().filter(|(_, state)| !state.listed.is_leaving).count()
-    }
-
     /// The `count` servers that look best for a request, best first. Servers in `excluded` are left
     /// out.
     pub fn candidates(
@@ -207,16 +202,6 @@
             .min_by(|(_, one), (_, other)| one.cost.total_cmp(&other.cost))
     }
 
-    /// What is expected of a request at a server.
-    pub fn estimate(
-        &self,
-        ticket: ServerTicket,
-        shape: RequestShape,
-        now: Instant,
-    ) -> Option<PlacementEstimate> {
-        self.state(ticket).map(|state| self.estimate_state(state, shape, now))
-    }
-
     fn estimate_state(
         &self,
         state: &ServerState,
--- a/components/daemon/src/hosted/following.rs
+++ b/components/daemon/src/hosted/following.rs
@@ -57,6 +57,18 @@
     version: Option<u64>,
 }
 
+impl ServerKnowledge {
+    /// Notes an answer that shows a version of the store; `false` when a newer one is known.
+    fn accept(&mut self, version: u64, now: Instant) -> bool {
+        if self.version.is_some_and(|known| version < known) {
+            return false;
+        }
+        self.version = Some(version);
+        self.book.note_contact(now);
+        true
+    }
+}
+
 /// Learns from wherever it can.
 pub(crate) struct Follower {
     parts: FollowingParts,
@@ -235,11 +247,9 @@
     fn take_listing(&self, version: u64, listed: Vec<ServerChange>) {
         let now = Instant::now();
         let mut knowledge = self.knowledge();
-        if knowledge.version.is_some_and(|known| version < known) {
+        if !knowledge.accept(version, now) {
             return;
         }
-        knowledge.version = Some(version);
-        knowledge.book.note_contact(now);
         knowledge.book.take_listing(listed, now);
         self.publish(&knowledge, None);
         self.parts.board.note_servers();
@@ -248,11 +258,9 @@
     fn take_changes(&self, version: u64, changes: Vec<ServerChange>) {
         let now = Instant::now();
         let mut knowledge = self.knowledge();
-        if knowledge.version.is_some_and(|known| version < known) {
+        if !knowledge.accept(version, now) {
             return;
         }
-        knowledge.version = Some(version);
-        knowledge.book.note_contact(now);
         if !changes.is_empty() {
             knowledge.book.take_changes(changes.clone(), now);
             self.publish(&knowledge, Some(changes));
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -2,12 +2,10 @@
 
 use std::time::Duration;
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::metrics::RequestOutcome;
+use crate::registry::{register_counter, register_gauge, render};
 
 /// All metrics of a hosted entry VM.
 #[derive(Debug, Clone)]
@@ -51,16 +49,8 @@
         .expect("metric definitions are valid");
         registry.register(Box::new(requests.clone())).expect("metric names are unique");
         registry.register(Box::new(seconds.clone())).expect("metric names are unique");
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("metric definitions are valid");
-            registry.register(Box::new(counter.clone())).expect("metric names are unique");
-            counter
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric definitions are valid");
-            registry.register(Box::new(gauge.clone())).expect("metric names are unique");
-            gauge
-        };
+        let counter = |name: &str, help: &str| register_counter(&registry, name, help);
+        let gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         Self {
             probes: counter("mustardrail_probes_total", "Probes sent."),
             callers_left: counter("mustardrail_callers_left_total", "Callers that left."),
@@ -82,10 +72,6 @@
 
     /// All metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
-            Err(error) => format!("# metrics could not be written: {error}\n"),
-        }
+        render(&self.registry)
     }
 }
--- a/components/observe/src/lib.rs
+++ b/components/observe/src/lib.rs
@@ -4,6 +4,7 @@
 mod hosted;
 mod logs;
 mod metrics;
+mod registry;
 mod traces;
 
 pub use batched::{BatchedLogs, FLUSH_INTERVAL};
--- a/components/observe/src/metrics.rs
+++ b/components/observe/src/metrics.rs
@@ -1,10 +1,11 @@
 //! Metrics for Prometheus. Labels are bounded: account names come only from accepted records.
 
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
+use crate::registry::{register_counter, register_gauge, render};
+
 /// How a request ended, as a metric label.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -78,16 +79,8 @@
         .expect("metric definitions are valid");
         registry.register(Box::new(requests.clone())).expect("metric names are unique");
         registry.register(Box::new(seconds.clone())).expect("metric names are unique");
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("metric definitions are valid");
-            registry.register(Box::new(counter.clone())).expect("metric names are unique");
-            counter
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric definitions are valid");
-            registry.register(Box::new(gauge.clone())).expect("metric names are unique");
-            gauge
-        };
+        let counter = |name: &str, help: &str| register_counter(&registry, name, help);
+        let gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         let control_seconds =
             Gauge::new("mustardrail_control_cpu_seconds", "Processor time of the control thread.")
                 .expect("metric definitions are valid");
@@ -123,10 +116,6 @@
 
     /// All metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
-            Err(error) => format!("# metrics could not be written: {error}\n"),
-        }
+        render(&self.registry)
     }
 }
