Keep the logs of all test daemons; one way to run a process under test

Cause: holds_at_most_once_chunked_answer_is_replayed_whole failed once with "daemon did not become ready", and nothing showed why, since the product's daemons logged nowhere in tests. Change: TestProcess runs every daemon of a test, keeps its log, and a daemon that ends before it is ready fails the test at once with its exit status and the end of its log. hosted.rs of testkit split. Ruled out: outgoing connections that take a test's port; they begin at 32,768 here, the ports of tests end below 32,000.

--- a/components/testkit/src/daemons.rs
+++ b/components/testkit/src/daemons.rs
@@ -3,22 +3,22 @@
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use crate::caller::{CallRequest, call};
+use crate::process::TestProcess;
 
 /// Longest time for a daemon to become ready or to end; CI runs with every core busy.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// A daemon process; it is killed when dropped.
 pub struct DaemonProcess {
-    child: Child,
+    process: TestProcess,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where operators connect.
@@ -48,37 +48,30 @@
 impl DaemonProcess {
     /// Starts a daemon with these settings, which must name its three addresses.
     pub fn start(program: &Path, settings: &Value) -> Self {
-        let name = format!("mustardrail-test-{}.json", free_port().port());
-        let path = std::env::temp_dir().join(format!("{}-{name}", std::process::id()));
-        std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
-        let child = Command::new(program)
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log_target())
-            .spawn()
-            .expect("the daemon can be started");
         let address = |field: &str| {
             let text = settings[field].as_str().expect("settings name the address");
             text.parse().expect("the address can be read")
         };
+        let operators: SocketAddr = address("operators");
+        let name = format!("test-{}", operators.port());
         Self {
-            child,
+            process: TestProcess::start(program, &[], &name, settings),
             callers: address("callers"),
-            operators: address("operators"),
+            operators,
             peers: address("peers"),
         }
     }
 
     /// Waits until the daemon says that it is ready.
-    pub async fn wait_ready(&self) {
-        assert!(self.is_ready_within(PATIENCE).await, "daemon did not become ready");
+    pub async fn wait_ready(&mut self) {
+        let is_ready = self.is_ready_within(PATIENCE).await;
+        assert!(is_ready, "daemon did not become ready: {}", self.process.describe());
     }
 
-    /// Whether the daemon says that it is ready within a time.
-    pub async fn is_ready_within(&self, patience: Duration) -> bool {
+    /// Whether the daemon says that it is ready within a time; `false` once it has ended.
+    pub async fn is_ready_within(&mut self, patience: Duration) -> bool {
         let deadline = Instant::now() + patience;
-        while Instant::now() < deadline {
+        while Instant::now() < deadline && self.process.exit_status().is_none() {
             let mut request = CallRequest::get(self.operators, "test", "/readyz");
             request.patience = Duration::from_secs(2);
             if call(&request).await.is_ok_and(|answer| answer.status == 200) {
@@ -91,62 +84,38 @@
 
     /// Freezes the process.
     pub fn freeze(&self) {
-        self.signal(Signal::STOP);
+        self.process.signal(Signal::STOP);
     }
 
     /// Lets a frozen process go on.
     pub fn thaw(&self) {
-        self.signal(Signal::CONT);
+        self.process.signal(Signal::CONT);
     }
 
     /// Begins a graceful shutdown.
     pub fn terminate(&self) {
-        self.signal(Signal::TERM);
+        self.process.signal(Signal::TERM);
     }
 
     /// Ends the process at once.
     pub fn kill(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.process.kill();
     }
 
     /// Waits until the process has ended; its exit status.
     pub async fn wait_ended(&mut self) -> i32 {
         let deadline = Instant::now() + PATIENCE;
         while Instant::now() < deadline {
-            if let Some(status) = self.child.try_wait().expect("the daemon can be waited for") {
-                return status.code().unwrap_or(-1);
+            if let Some(status) = self.process.exit_status() {
+                return status;
             }
             sleep(Duration::from_millis(20)).await;
         }
-        panic!("daemon did not end");
+        panic!("daemon did not end: {}", self.process.describe());
     }
 
     /// The process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32).expect("process ids are positive");
-        kill_process(pid, signal).expect("the daemon can be signalled");
-    }
-}
-
-impl Drop for DaemonProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Daemons log into a file when `MUSTARDRAIL_TEST_LOG` names one, and nowhere else.
-pub(crate) fn log_target() -> Stdio {
-    let Ok(path) = std::env::var("MUSTARDRAIL_TEST_LOG") else {
-        return Stdio::null();
-    };
-    match std::fs::OpenOptions::new().create(true).append(true).open(path) {
-        Ok(file) => file.into(),
-        Err(_) => Stdio::null(),
+        self.process.id()
     }
 }
--- a/components/testkit/src/fleet.rs
+++ b/components/testkit/src/fleet.rs
@@ -87,7 +87,7 @@
         for _ in 0..count {
             fleet.add_daemon(&json!({}));
         }
-        for daemon in &fleet.daemons {
+        for daemon in &mut fleet.daemons {
             daemon.wait_ready().await;
         }
         fleet.wait_members(count).await;
--- /dev/null
+++ b/components/testkit/src/hosted/config.rs
@@ -0,0 +1,55 @@
+//! Configurations of hosted fleets.
+
+use std::time::Duration;
+
+use model::RevisionNumber;
+use routes::{
+    CallerLimits, HostedRoute, RepeatRule, RoutePart, RouteTable, ServiceInfo, ServiceName,
+};
+
+use crate::hosted::{HEALTH_PATH, HOSTED_HOST};
+
+/// A route of the test host that leads to services with weights.
+pub fn hosted_route(prefix: &str, repeat: RepeatRule, parts: &[(&str, u32)]) -> HostedRoute {
+    HostedRoute {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeat,
+        timeout: Duration::from_secs(20),
+        target: Duration::from_secs(10),
+        priority: 1,
+        max_attempts: 2,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| RoutePart {
+                service: ServiceName((*service).into()),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+/// A configuration of the test host.
+pub fn hosted_config(version: u64, routes: Vec<HostedRoute>) -> RouteTable {
+    let services = routes.iter().flat_map(|route| &route.parts).map(|part| {
+        let info = ServiceInfo { health_path: HEALTH_PATH.into(), connections: 200 };
+        (part.service.clone(), info)
+    });
+    let limits = CallerLimits {
+        header_bytes: 16 << 10,
+        body_bytes: 8 << 20,
+        header_time: Duration::from_secs(30),
+        idle_time: Duration::from_secs(30),
+    };
+    let mut table = RouteTable::new(RevisionNumber(version), services.collect(), limits);
+    table.add_host(HOSTED_HOST, routes);
+    table
+}
+
+/// The routes of a standard fleet.
+pub fn standard_routes() -> Vec<HostedRoute> {
+    vec![
+        hosted_route("/read/", RepeatRule::Idempotent, &[("orders", 1)]),
+        hosted_route("/order/", RepeatRule::Once, &[("orders", 1)]),
+    ]
+}
--- /dev/null
+++ b/components/testkit/src/hosted/daemon.rs
@@ -0,0 +1,104 @@
+//! Hosted daemons as separate processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::caller::{CallRequest, call};
+use crate::daemons::free_port;
+use crate::hosted::PATIENCE;
+use crate::process::TestProcess;
+
+/// Pause between two questions for readiness.
+const READINESS_PAUSE: Duration = Duration::from_millis(20);
+
+/// A hosted daemon as a process; it is killed when dropped.
+pub struct HostedDaemon {
+    process: TestProcess,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness: SocketAddr,
+}
+
+impl HostedDaemon {
+    /// Starts a daemon on a store.
+    pub fn start(program: &Path, store: SocketAddr) -> Self {
+        Self::start_with(program, store, free_port(), &[])
+    }
+
+    /// Starts a daemon that reads the store itself or through relays.
+    pub fn start_with(
+        program: &Path,
+        store: SocketAddr,
+        relay: SocketAddr,
+        relays: &[SocketAddr],
+    ) -> Self {
+        let (callers, readiness) = (free_port(), free_port());
+        let settings = json!({
+            "vm": "entry-1", "zone": "zone-a", "callers": callers, "readiness": readiness,
+            "store": store, "relay": relay, "relays": relays, "grace_s": 30, "contact_s": 3,
+            "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
+        });
+        let name = format!("hosted-{}", callers.port());
+        let process = TestProcess::start(program, &["--hosted"], &name, &settings);
+        Self { process, callers, readiness }
+    }
+
+    /// Lines that it has logged so far which hold a text.
+    pub fn log_lines(&self, text: &str) -> Vec<Value> {
+        let log = self.process.read_log();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(|line| serde_json::from_str(line).expect("log lines are JSON")).collect()
+    }
+
+    /// Where its log lies.
+    pub fn log_path(&self) -> &Path {
+        self.process.log_path()
+    }
+
+    /// The status with which it answers a question for readiness.
+    pub async fn readiness(&self) -> Option<u16> {
+        let request = CallRequest::get(self.readiness, "test", "/readyz");
+        call(&request).await.ok().map(|answer| answer.status)
+    }
+
+    /// Waits until it says that it is ready.
+    pub async fn wait_ready(&mut self) {
+        let until = Instant::now() + PATIENCE;
+        while self.readiness().await != Some(200) {
+            let is_hopeless = Instant::now() > until || self.exit_status().is_some();
+            assert!(!is_hopeless, "daemon did not become ready: {}", self.process.describe());
+            sleep(READINESS_PAUSE).await;
+        }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    /// Begins a graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Lets it read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Whether the process has ended, and how.
+    pub fn exit_status(&mut self) -> Option<i32> {
+        self.process.exit_status()
+    }
+}
--- /dev/null
+++ b/components/testkit/src/hosted/fleet.rs
@@ -0,0 +1,93 @@
+//! A store, servers and daemons together.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+
+use platform::wire_interface;
+
+use crate::caller::CallRequest;
+use crate::hosted::{
+    HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedRun, HostedServer, hosted_config,
+    standard_routes,
+};
+use crate::platform_server::PlatformStandIn;
+
+/// A store, servers and one daemon.
+pub struct HostedFleet {
+    /// The store.
+    pub platform: PlatformStandIn,
+    /// The servers.
+    pub servers: Vec<HostedServer>,
+    /// The daemon.
+    pub daemon: HostedDaemon,
+    requests: AtomicU64,
+}
+
+impl HostedFleet {
+    /// Starts a fleet with `count` servers of the service "orders", and routes "/read/"
+    /// (idempotent) and "/order/" (once) to it.
+    pub async fn start(program: &Path, count: usize, behaviour: HostedBehaviour) -> Self {
+        let mut servers = Vec::new();
+        for number in 0..count {
+            servers.push(HostedServer::start(&format!("s-{number}"), "orders", behaviour).await);
+        }
+        let platform = PlatformStandIn::start().await;
+        platform.put_config(&hosted_config(1, standard_routes()));
+        for server in &servers {
+            platform.put_server(&server.record);
+        }
+        let mut daemon = HostedDaemon::start(program, platform.address());
+        daemon.wait_ready().await;
+        Self { platform, servers, daemon, requests: AtomicU64::new(0) }
+    }
+
+    /// A request with an identity of its own.
+    pub fn request(&self, method: hyper::Method, path: &str) -> CallRequest {
+        let number = self.requests.fetch_add(1, Ordering::SeqCst);
+        let names = wire_interface().headers;
+        let mut request = CallRequest::get(self.daemon.callers, HOSTED_HOST, path)
+            .with(names.request_id.as_str(), &format!("request-{number}"))
+            .with(names.deadline_ms.as_str(), "20000");
+        request.method = method;
+        request
+    }
+
+    /// An idempotent request.
+    pub fn lookup(&self) -> CallRequest {
+        self.request(hyper::Method::GET, "/read/1")
+    }
+
+    /// A request that may run once.
+    pub fn order(&self, body: &str) -> CallRequest {
+        let mut request = self.request(hyper::Method::POST, "/order/1?kind=stone");
+        request.body = Bytes::copy_from_slice(body.as_bytes());
+        request
+    }
+
+    /// All runs at all servers.
+    pub fn runs(&self) -> Vec<HostedRun> {
+        self.servers.iter().flat_map(HostedServer::runs).collect()
+    }
+
+    /// How often a request ran.
+    pub fn runs_of(&self, request: &CallRequest) -> usize {
+        let id = request_id(request);
+        self.runs().iter().filter(|run| *run.id == *id).count()
+    }
+
+    /// Changes how all servers treat requests.
+    pub fn set_behaviour(&self, behaviour: HostedBehaviour) {
+        for server in &self.servers {
+            server.set_behaviour(behaviour);
+        }
+    }
+}
+
+/// The identity of a request.
+pub fn request_id(request: &CallRequest) -> Box<str> {
+    let name = wire_interface().headers.request_id;
+    let field = request.headers.iter().find(|(known, _)| **known == *name.as_str());
+    field.map(|(_, value)| value.clone()).expect("the request has an identity")
+}
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod histories;
 mod hosted;
 mod platform_server;
+mod process;
 mod relay;
 mod soak;
 mod usage;
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -95,7 +95,7 @@
             let process = fleet.spawn(relay);
             fleet.daemons.push(SoakDaemon { process, relay });
         }
-        for daemon in &fleet.daemons {
+        for daemon in &mut fleet.daemons {
             daemon.process.wait_ready().await;
         }
         fleet.share_callers();
--- a/tests/hosted_changes.rs
+++ b/tests/hosted_changes.rs
@@ -261,7 +261,7 @@
     let program = Path::new(DAEMON);
     relay.daemon = HostedDaemon::start_with(program, store, relay_address, &[relay_address]);
     relay.daemon.wait_ready().await;
-    let subscriber =
+    let mut subscriber =
         HostedDaemon::start_with(program, store, testkit::free_port(), &[relay_address]);
     subscriber.wait_ready().await;
 
--- a/tests/http_rules.rs
+++ b/tests/http_rules.rs
@@ -170,7 +170,7 @@
 async fn garbage_at_every_listener_is_survived() {
     const SEED: u64 = 99;
     let mut random = StdRng::seed_from_u64(SEED);
-    let (fleet, _service) = setup(1, 1, &json!({})).await;
+    let (mut fleet, _service) = setup(1, 1, &json!({})).await;
     let daemon = &fleet.daemons[0];
     for address in [daemon.callers, daemon.operators, daemon.peers] {
         for round in 0..60 {
@@ -189,7 +189,8 @@
         }
     }
     fleet.wait_serving("shop.test").await;
-    assert!(daemon.is_ready_within(Duration::from_secs(20)).await, "seed {SEED}");
+    let is_ready = fleet.daemons[0].is_ready_within(Duration::from_secs(20)).await;
+    assert!(is_ready, "seed {SEED}");
 }
 
 /// One account floods; none of the quiet account's requests is refused for it.
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -18,7 +18,7 @@
     for _ in 0..14 {
         fleet.add_daemon(&json!({ "fleet_slots": 8 }));
     }
-    for daemon in &fleet.daemons {
+    for daemon in &mut fleet.daemons {
         daemon.wait_ready().await;
     }
     fleet.platform.set_down(true);
@@ -31,7 +31,7 @@
         assert!(reads <= READS_ALLOWED, "{reads} reads in second {second}");
         assert!(writes <= WRITES_ALLOWED, "{writes} writes in second {second}");
     }
-    for daemon in &fleet.daemons {
+    for daemon in &mut fleet.daemons {
         daemon.wait_ready().await;
     }
 }
