Go to another relay before asking the store; divide the retry budget's slack by relays

Cause: on grown sites calls to the store were the largest price after machines: each subscriber whose relay was 1.3 s old or lost asked the store for some 6 s, 118 VMs at once while the store failed, two tables each. And a VM could use a 150th of the budget's slack, since it doesn't know how many VMs live: less than one further send for a quiet service. Change: subscribers try the other relays first, ask the store only while what they know is older than 1.3 s, and stop as soon as a relay is fresh; a subscription says what is known, so nothing is sent twice; while calls fail one table at a time is asked for; a slow store's delay is taken off the wait. Relays count their members and divide the slack among them (limits::slack). Lists are encoded only where somebody subscribes. After a connection that broke, the next send opens its own.

--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -59,7 +59,8 @@
         self.routes()
     }
 
-    async fn learn(&self) {
+    /// Waits until there is a configuration and a list of servers.
+    pub async fn learn(&self) {
         loop {
             let learned = self.learned.notified();
             tokio::pin!(learned);
@@ -87,7 +88,6 @@
 
     /// Whether this entry VM should get new connections.
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.has_servers.load(Ordering::Acquire) && self.routes.load().is_some();
-        knows_enough && !self.is_draining()
+        self.knows_enough() && !self.is_draining()
     }
 }
--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -4,8 +4,10 @@
 //! here from what this entry VM sees.
 
 mod following;
+mod knowledge;
 mod readiness;
 mod run;
+mod subscribing;
 mod table;
 
 pub use run::run_hosted;
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -11,15 +11,17 @@
 
 use balance::PlacementOptions;
 use board::HostedBoard;
-use limits::ArrivalLimits;
+use limits::{ArrivalLimits, slack_part};
 use observe::{BatchedLogs, FLUSH_INTERVAL, HostedMetrics, Logger, info, level_of, warn};
 use peers::{RelayHub, serve_relay};
 use platform::PlatformStore;
 use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices};
 use settings::{HostedSettings, SettingsFault, load_hosted_settings};
 
-use crate::hosted::following::{Follower, FollowingParts};
+use crate::hosted::following::{Follower, StoreCalls};
+use crate::hosted::knowledge::Knowledge;
 use crate::hosted::readiness::{ReadinessParts, serve_readiness};
+use crate::hosted::subscribing::Subscriber;
 use crate::run::{DaemonFault, listen, start_fault};
 use crate::shutdown::StopSignals;
 
@@ -61,9 +63,19 @@
 /// are a 20th of a request's worth, as are 10 ms of a target of 200 ms.
 const ZONE_COST_PER_KIB: Duration = Duration::from_micros(2_000);
 
-/// Parts into which the slack of the retry budget is divided. The users run 14 to 129 entry VMs, and
-/// the sum over them must not exceed the slack.
-const BUDGET_SHARES: f64 = 150.0;
+/// Part of the budgets' window for which a relay counts members that are gone: the window and the
+/// step by which it slides.
+const MEMBER_WINDOW_PART: f64 = 1.1;
+
+/// Time between two looks of a relay at its own part of the slack.
+const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest pause between failed calls to the store. A VM counts as in touch 3 s after the store's
+/// return, and its relay tells it of the return earlier.
+const FAILURE_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// The same for a relay.
+const RELAY_FAILURE_PAUSE: Duration = Duration::from_millis(800);
 
 /// Largest request body that is kept in memory whole.
 const KEPT_BODY_BYTES: u64 = 1 << 20;
@@ -103,29 +115,20 @@
         readiness,
         ReadinessParts { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() },
     ));
-    let relay = listen(settings.relay, "relay").await?;
-    let hub = Arc::new(RelayHub::default());
-    background.spawn(serve_relay(relay, Arc::clone(&hub), log.clone()));
-    let is_relay = settings.relays.contains(&settings.relay);
-    let (wait_part, change_pause) = match is_relay {
-        true => (RELAY_WAIT_PART, RELAY_CHANGE_PAUSE),
-        false => (FEED_WAIT_PART, CHANGE_PAUSE),
-    };
-    let parts = FollowingParts {
-        store: Arc::new(PlatformStore::new(
-            settings.store,
-            settings.contact().mul_f64(STORE_CALL_PART),
-        )),
-        feed_wait: settings.contact().mul_f64(wait_part),
-        change_pause,
-        relays: if is_relay { Vec::new() } else { settings.relays.clone() },
-        hub: Arc::clone(&hub),
-        board: Arc::clone(&board),
-        services: Arc::clone(&services),
-        metrics: metrics.clone(),
-        log: log.clone(),
-    };
-    background.spawn(Follower::new(parts).run());
+    let hub = start_relay(&settings, &mut background, &log).await?;
+    let knowledge = Arc::new(Knowledge::new(
+        Arc::clone(&board),
+        Arc::clone(&services),
+        hub,
+        metrics.clone(),
+        log.clone(),
+    ));
+    if let Some(hub) = &knowledge.hub {
+        let (hub, services) = (Arc::clone(hub), Arc::clone(&services));
+        background.spawn(share_slack(hub, services, settings.clone()));
+    }
+    background.spawn(new_follower(&settings, &knowledge).run());
+    background.spawn(async move { knowledge.run_expiry().await });
     background.spawn(sweep(Arc::clone(&services)));
     background.spawn(follow_settings(path, settings.clone(), log.clone()));
     let handler = Arc::new(HostedHandler::new(
@@ -154,6 +157,55 @@
     Ok(())
 }
 
+/// Serves subscribers where this VM is one of the relays. Elsewhere the port stays closed, so that
+/// a VM that holds this one for a relay knows at once.
+async fn start_relay(
+    settings: &HostedSettings,
+    background: &mut JoinSet<()>,
+    log: &Logger,
+) -> Result<Option<Arc<RelayHub>>, DaemonFault> {
+    if !settings.relays.contains(&settings.relay) {
+        return Ok(None);
+    }
+    let listener = listen(settings.relay, "relay").await?;
+    let window = Duration::from_secs_f64(settings.retries.window_s).mul_f64(MEMBER_WINDOW_PART);
+    let hub = Arc::new(RelayHub::new(window));
+    background.spawn(serve_relay(listener, Arc::clone(&hub), log.clone()));
+    Ok(Some(hub))
+}
+
+fn new_follower(settings: &HostedSettings, knowledge: &Arc<Knowledge>) -> Follower {
+    let store = PlatformStore::new(settings.store, settings.contact().mul_f64(STORE_CALL_PART));
+    let is_relay = knowledge.hub.is_some();
+    let (wait_part, change_pause, longest_failure_pause) = match is_relay {
+        true => (RELAY_WAIT_PART, RELAY_CHANGE_PAUSE, RELAY_FAILURE_PAUSE),
+        false => (FEED_WAIT_PART, CHANGE_PAUSE, FAILURE_PAUSE),
+    };
+    let calls = StoreCalls {
+        store: Arc::new(store),
+        feed_wait: settings.contact().mul_f64(wait_part),
+        change_pause,
+        longest_failure_pause,
+        failing_turn: Arc::default(),
+    };
+    let subscriber = (!is_relay && !settings.relays.is_empty()).then(|| {
+        let relays = settings.relays.clone();
+        Subscriber::new(relays, Arc::clone(knowledge), settings.retries.slack)
+    });
+    Follower::new(Arc::clone(knowledge), calls, subscriber)
+}
+
+/// Divides the part of the budgets' slack that a relay has among its subscribers and itself.
+async fn share_slack(hub: Arc<RelayHub>, services: Arc<HostedServices>, settings: HostedSettings) {
+    let mut ticks = interval(SHARE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let members = hub.members(Instant::now());
+        let part = slack_part(settings.retries.slack, settings.relays.len(), members);
+        services.set_slack(part);
+    }
+}
+
 fn new_services(settings: &HostedSettings) -> HostedServices {
     let placement = PlacementOptions {
         vm: settings.vm.clone(),
@@ -164,7 +216,8 @@
     let retries = settings.retries;
     let limits = ArrivalLimits {
         ratio: retries.ratio,
-        slack: retries.slack / BUDGET_SHARES,
+        // Only a relay knows how many VMs share it.
+        slack: 0.0,
         window: Duration::from_secs_f64(retries.window_s),
     };
     HostedServices::new(placement, limits)
--- a/components/daemon/src/hosted/table.rs
+++ b/components/daemon/src/hosted/table.rs
@@ -1,25 +1,25 @@
 //! Follows one table of the platform's store from a listing on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use model::jittered;
-use observe::{info, warn};
+use observe::{HostedMetrics, Logger, info, warn};
 use platform::{ChangedRows, FeedAnswer, TableName, TableRow};
 use store::StoreError;
 
-use crate::hosted::following::FollowingParts;
+use crate::hosted::following::StoreCalls;
 
 /// Pause after a failed call, and after a listing older than what is known.
 const FIRST_FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause after failed calls in a row. A VM counts as in touch 3 s after the store's return.
-const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(800);
-
 /// Follows one table.
 pub(crate) struct TableFollower<'a> {
-    parts: &'a FollowingParts,
+    calls: &'a StoreCalls,
+    metrics: &'a HostedMetrics,
+    log: &'a Logger,
     table: TableName,
     /// Version up to which changes are known; `None` when the table must be listed.
     known: Option<u64>,
@@ -27,6 +27,8 @@
     newest: u64,
     /// Failed calls in a row.
     failures: u32,
+    /// What the last call took beyond its wait for changes.
+    delay: Duration,
 }
 
 /// What a call brought.
@@ -39,8 +41,16 @@
 
 impl<'a> TableFollower<'a> {
     /// Follows from a known version on, or from a listing.
-    pub(crate) fn new(parts: &'a FollowingParts, table: TableName, known: Option<u64>) -> Self {
-        Self { parts, table, known, newest: known.unwrap_or(0), failures: 0 }
+    pub(crate) fn new(
+        calls: &'a StoreCalls,
+        metrics: &'a HostedMetrics,
+        log: &'a Logger,
+        table: TableName,
+        known: Option<u64>,
+    ) -> Self {
+        let newest = known.unwrap_or(0);
+        let delay = Duration::ZERO;
+        Self { calls, metrics, log, table, known, newest, failures: 0, delay }
     }
 
     /// Whether the last call failed.
@@ -51,7 +61,12 @@
     /// Waits for the next answer of the store and its version; `None` after a call that brought
     /// nothing usable.
     pub(crate) async fn next(&mut self) -> Option<(u64, TableNews)> {
-        self.parts.metrics.store_calls.inc();
+        let turn = Arc::clone(&self.calls.failing_turn);
+        let _turn = match self.is_failing() {
+            true => Some(turn.lock().await),
+            false => None,
+        };
+        self.metrics.store_calls.inc();
         match self.known {
             Some(known) => self.follow(known).await,
             None => self.list().await,
@@ -59,13 +74,13 @@
     }
 
     async fn list(&mut self) -> Option<(u64, TableNews)> {
-        let listed = match self.parts.store.list(self.table).await {
+        let listed = match self.calls.store.list(self.table).await {
             Ok(listed) => listed,
             Err(error) => return self.fail(&error).await,
         };
         self.succeed();
         if listed.version < self.newest {
-            warn!(self.parts.log, "store: listing is older than what is known";
+            warn!(self.log, "store: listing is older than what is known";
                 "table" => %self.table, "version" => listed.version, "known" => self.newest);
             sleep(jittered(FIRST_FAILURE_PAUSE)).await;
             return None;
@@ -75,14 +90,19 @@
     }
 
     async fn follow(&mut self, known: u64) -> Option<(u64, TableNews)> {
-        match self.parts.store.follow(self.table, known, self.parts.feed_wait).await {
+        let begun_at = Instant::now();
+        let wait = self.wait();
+        match self.calls.store.follow(self.table, known, wait).await {
             Ok(FeedAnswer::Changed(changed)) => {
                 self.succeed();
+                if changed.rows.is_empty() {
+                    self.delay = begun_at.elapsed().saturating_sub(wait);
+                }
                 let version = changed.version;
                 Some((version, TableNews::Changed(self.take(changed))))
             }
             Ok(FeedAnswer::HistoryGone) => {
-                info!(self.parts.log, "store: history is gone, listing again";
+                info!(self.log, "store: history is gone, listing again";
                     "table" => %self.table, "known" => known);
                 self.known = None;
                 None
@@ -91,6 +111,15 @@
         }
     }
 
+    /// How long the next call waits for changes. A slow store's answer comes later by its delay, and
+    /// a failing one is only asked whether it answers.
+    fn wait(&self) -> Duration {
+        match self.is_failing() {
+            true => Duration::ZERO,
+            false => self.calls.feed_wait.saturating_sub(self.delay),
+        }
+    }
+
     fn take(&mut self, changed: ChangedRows) -> Vec<TableRow> {
         self.known = Some(changed.version);
         self.newest = self.newest.max(changed.version);
@@ -99,20 +128,20 @@
 
     fn succeed(&mut self) {
         if self.failures > 0 {
-            info!(self.parts.log, "store: regained"; "table" => %self.table,
+            info!(self.log, "store: regained"; "table" => %self.table,
                 "failures" => self.failures);
         }
         self.failures = 0;
     }
 
     async fn fail<T>(&mut self, error: &StoreError) -> Option<T> {
-        self.parts.metrics.store_failures.inc();
+        self.metrics.store_failures.inc();
         if self.failures == 0 {
-            warn!(self.parts.log, "store: lost"; "table" => %self.table, "reason" => %error);
+            warn!(self.log, "store: lost"; "table" => %self.table, "reason" => %error);
         }
         let pause = FIRST_FAILURE_PAUSE * 2u32.saturating_pow(self.failures.min(4));
         self.failures += 1;
-        sleep(jittered(pause.min(LONGEST_FAILURE_PAUSE))).await;
+        sleep(jittered(pause.min(self.calls.longest_failure_pause))).await;
         None
     }
 }
--- a/components/limits/src/arrivals.rs
+++ b/components/limits/src/arrivals.rs
@@ -44,6 +44,11 @@
         Self { limits, steps: VecDeque::new() }
     }
 
+    /// Changes the part of the slack that this entry VM may use from now on.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.limits.slack = slack;
+    }
+
     /// Notes a request of a caller.
     pub fn note_request(&mut self, now: Instant) {
         self.step(now).requests += 1.0;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -7,9 +7,11 @@
 mod gate;
 mod queue;
 mod retry;
+mod slack;
 
 pub use arrivals::{ArrivalBudget, ArrivalLimits};
 pub use bucket::TokenBucket;
 pub use gate::{AdmissionGate, AdmissionOutcome, AdmissionRefusal};
 pub use queue::{FairQueue, QueueFull};
 pub use retry::RetryBudget;
+pub use slack::{MemberCount, slack_part};
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -10,5 +10,5 @@
 pub use handshake::PeerIdentity;
 pub use link::{PeerEvent, PeerOutbox, accept_peers, dial_peer};
 pub use message::{PeerBeat, PeerEcho, PeerMessage};
-pub use relay::{RelayHub, RelayMessage, RelaySubscription, serve_relay};
+pub use relay::{KnownVersions, RelayHub, RelayMessage, RelaySubscription, serve_relay};
 pub use wire::PeerFault;
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
+use limits::MemberCount;
 use observe::{Logger, info, warn};
 use routes::{RouteTable, ServerChange, ServerRecord};
 
@@ -23,15 +24,27 @@
 /// Time between two signs of life of a relay.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Longest time to connect to a relay.
+/// Longest time to connect to a relay, and for a subscriber to say what it knows.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
+/// Longest time to send a message to a subscriber, which may be gone without a sign.
+const SEND_TIME: Duration = Duration::from_secs(2);
+
 /// Messages that may wait for one subscriber; a slower one is cut off and subscribes anew.
 const WAITING_MESSAGES: usize = 64;
 
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// What a subscriber knows already: its first message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownVersions {
+    /// Version of the configuration.
+    pub config: Option<u64>,
+    /// Version of the store that the list of servers shows.
+    pub servers: Option<u64>,
+}
+
 /// What a relay tells a subscriber.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RelayMessage {
@@ -57,6 +70,10 @@
     Alive {
         /// Milliseconds since the store last confirmed what the relay knows.
         age_ms: u64,
+        /// Whether the relay's calls to the store fail.
+        is_store_away: bool,
+        /// Entry VMs among which the relay divides its part of shared budgets.
+        members: u32,
     },
 }
 
@@ -66,23 +83,52 @@
     news: broadcast::Sender<Bytes>,
 }
 
-#[derive(Default)]
 struct HubState {
-    config: Option<Bytes>,
-    servers: Option<Bytes>,
-    /// Version of the list that subscribers were told last.
-    told_version: u64,
+    config: Option<KnownNews>,
+    servers: Option<KnownNews>,
     config_confirmed: Option<Instant>,
     servers_confirmed: Option<Instant>,
+    is_store_away: bool,
+    members: MemberCount,
 }
 
-impl Default for RelayHub {
-    fn default() -> Self {
-        Self { state: Mutex::default(), news: broadcast::Sender::new(WAITING_MESSAGES) }
+/// The newest of one kind of news.
+struct KnownNews {
+    version: u64,
+    message: RelayMessage,
+    /// The message in its encoding, once a subscriber needed it.
+    encoded: Option<Bytes>,
+}
+
+impl KnownNews {
+    fn new(version: u64, message: RelayMessage) -> Self {
+        Self { version, message, encoded: None }
+    }
+
+    fn encode(&mut self) -> Result<Bytes, PeerFault> {
+        if let Some(encoded) = &self.encoded {
+            return Ok(encoded.clone());
+        }
+        let encoded = encode(&self.message)?;
+        self.encoded = Some(encoded.clone());
+        Ok(encoded)
     }
 }
 
 impl RelayHub {
+    /// A hub without subscribers; what a member took of a shared budget counts for `window`.
+    pub fn new(window: Duration) -> Self {
+        let state = HubState {
+            config: None,
+            servers: None,
+            config_confirmed: None,
+            servers_confirmed: None,
+            is_store_away: false,
+            members: MemberCount::new(window, Instant::now()),
+        };
+        Self { state: Mutex::new(state), news: broadcast::Sender::new(WAITING_MESSAGES) }
+    }
+
     /// Notes that the store confirmed the configuration.
     pub fn confirm_config(&self, now: Instant) {
         self.state().config_confirmed = Some(now);
@@ -90,15 +136,24 @@
 
     /// Notes that the store confirmed the list of servers.
     pub fn confirm_servers(&self, now: Instant) {
-        self.state().servers_confirmed = Some(now);
+        let mut state = self.state();
+        state.servers_confirmed = Some(now);
+        state.is_store_away = false;
+    }
+
+    /// Notes that a call to the store for the list of servers failed.
+    pub fn note_outage(&self) {
+        self.state().is_store_away = true;
     }
 
     /// Tells subscribers of a configuration.
     pub fn tell_config(&self, table: &RouteTable) -> Result<(), PeerFault> {
-        let message = encode(&RelayMessage::Config(table.clone()))?;
-        self.state().config = Some(message.clone());
-        // Without a subscriber there is nobody to tell.
-        let _ = self.news.send(message);
+        let mut news = KnownNews::new(table.version.0, RelayMessage::Config(table.clone()));
+        let mut state = self.state();
+        if self.news.receiver_count() > 0 {
+            self.send(news.encode()?);
+        }
+        state.config = Some(news);
         Ok(())
     }
 
@@ -110,31 +165,56 @@
         records: Vec<ServerRecord>,
         changes: Option<Vec<ServerChange>>,
     ) -> Result<(), PeerFault> {
-        let whole = encode(&RelayMessage::Servers { version, records })?;
+        let mut news = KnownNews::new(version, RelayMessage::Servers { version, records });
         let mut state = self.state();
-        let after = std::mem::replace(&mut state.told_version, version);
-        let news = match changes {
-            Some(changes) => encode(&RelayMessage::Changes { after, version, changes })?,
-            None => whole.clone(),
-        };
-        state.servers = Some(whole);
-        // Sent under the lock, so that a new subscriber gets each message once and in order.
-        let _ = self.news.send(news);
+        if self.news.receiver_count() > 0 {
+            let after = state.servers.as_ref().map_or(0, |known| known.version);
+            let message = match changes {
+                Some(changes) => encode(&RelayMessage::Changes { after, version, changes })?,
+                None => news.encode()?,
+            };
+            self.send(message);
+        }
+        state.servers = Some(news);
         Ok(())
     }
 
-    /// Age of what the relay knows; `None` before it knows anything.
-    fn age(&self, now: Instant) -> Option<Duration> {
+    /// Called under the lock, so that a new subscriber gets each message once and in order.
+    fn send(&self, message: Bytes) {
+        // The last subscriber may have left.
+        let _ = self.news.send(message);
+    }
+
+    /// Entry VMs among which this relay divides its part of shared budgets, itself among them.
+    pub fn members(&self, now: Instant) -> u32 {
+        let mut state = self.state();
+        state.members.note(self.news.receiver_count() as u32 + 1, now);
+        state.members.most(now)
+    }
+
+    /// A sign of life; `None` before the relay knows anything.
+    fn alive(&self, now: Instant) -> Option<RelayMessage> {
+        let members = self.members(now);
         let state = self.state();
         let oldest = state.config_confirmed?.min(state.servers_confirmed?);
-        Some(now.saturating_duration_since(oldest))
+        let age_ms = now.saturating_duration_since(oldest).as_millis() as u64;
+        Some(RelayMessage::Alive { age_ms, is_store_away: state.is_store_away, members })
     }
 
-    /// What a new subscriber must know, and what comes after it.
-    fn subscribe(&self) -> (Vec<Bytes>, broadcast::Receiver<Bytes>) {
-        let state = self.state();
-        let known = state.config.iter().chain(&state.servers).cloned().collect();
-        (known, self.news.subscribe())
+    /// What a new subscriber must be told, and what comes after it.
+    fn subscribe(
+        &self,
+        known: &KnownVersions,
+    ) -> Result<(Vec<Bytes>, broadcast::Receiver<Bytes>), PeerFault> {
+        let mut state = self.state();
+        let HubState { config, servers, .. } = &mut *state;
+        let mut untold = Vec::new();
+        for (news, known) in [(config, known.config), (servers, known.servers)] {
+            if let Some(news) = news.as_mut().filter(|news| known < Some(news.version)) {
+                untold.push(news.encode()?);
+            }
+        }
+        Ok((untold, self.news.subscribe()))
     }
 
     fn state(&self) -> MutexGuard<'_, HubState> {
@@ -166,45 +246,53 @@
     stream: TcpStream,
     hub: &RelayHub,
 ) -> Result<std::convert::Infallible, PeerFault> {
-    let config = Some(CborSocket::config());
-    let socket = accept_async_with_config(stream, config).await.map_err(|error| ended(&error))?;
-    let mut socket = CborSocket::new(socket);
-    let (known, mut news) = hub.subscribe();
-    for message in known {
-        socket.send_encoded(message).await?;
+    let (mut socket, known) =
+        timeout(CONNECT_TIME, accept_subscriber(stream)).await.map_err(|_| PeerFault::Silent)??;
+    let (untold, mut news) = hub.subscribe(&known)?;
+    for message in untold {
+        send(&mut socket, message).await?;
     }
     let mut beats = interval(ALIVE_INTERVAL);
     loop {
-        tokio::select! {
-            message = news.recv() => {
-                let message = message.map_err(|error| ended(&error))?;
-                socket.send_encoded(message).await?;
-            }
-            _ = beats.tick() => {
-                if let Some(age) = hub.age(Instant::now()) {
-                    let age_ms = age.as_millis() as u64;
-                    socket.send(&RelayMessage::Alive { age_ms }).await?;
-                }
-            }
-        }
+        let message = tokio::select! {
+            message = news.recv() => message.map_err(|error| ended(&error))?,
+            _ = beats.tick() => match hub.alive(Instant::now()) {
+                Some(alive) => encode(&alive)?,
+                None => continue,
+            },
+        };
+        send(&mut socket, message).await?;
     }
 }
 
+async fn accept_subscriber(stream: TcpStream) -> Result<(CborSocket, KnownVersions), PeerFault> {
+    stream.set_nodelay(true).map_err(|error| ended(&error))?;
+    let config = Some(CborSocket::config());
+    let socket = accept_async_with_config(stream, config).await.map_err(|error| ended(&error))?;
+    let mut socket = CborSocket::new(socket);
+    let (known, _) = socket.receive().await?;
+    Ok((socket, known))
+}
+
+async fn send(socket: &mut CborSocket, message: Bytes) -> Result<(), PeerFault> {
+    timeout(SEND_TIME, socket.send_encoded(message)).await.map_err(|_| PeerFault::Silent)?
+}
+
 /// A subscription to a relay.
 pub struct RelaySubscription {
     socket: CborSocket,
 }
 
 impl RelaySubscription {
-    /// Subscribes to the relay at `address`.
-    pub async fn open(address: SocketAddr) -> Result<Self, PeerFault> {
-        match timeout(CONNECT_TIME, Self::connect(address)).await {
+    /// Subscribes to the relay at `address`, which need not tell what is known.
+    pub async fn open(address: SocketAddr, known: &KnownVersions) -> Result<Self, PeerFault> {
+        match timeout(CONNECT_TIME, Self::connect(address, known)).await {
             Ok(opened) => opened,
             Err(_) => Err(PeerFault::Silent),
         }
     }
 
-    async fn connect(address: SocketAddr) -> Result<Self, PeerFault> {
+    async fn connect(address: SocketAddr, known: &KnownVersions) -> Result<Self, PeerFault> {
         let stream = TcpStream::connect(address).await.map_err(|error| ended(&error))?;
         stream.set_nodelay(true).map_err(|error| ended(&error))?;
         let config = Some(CborSocket::config());
@@ -212,7 +300,9 @@
         let (socket, _) = client_async_with_config(request, stream, config)
             .await
             .map_err(|error| ended(&error))?;
-        Ok(Self { socket: CborSocket::new(socket) })
+        let mut socket = CborSocket::new(socket);
+        socket.send(known).await?;
+        Ok(Self { socket })
     }
 
     /// The next message; fails when the relay is silent for `patience`.
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -164,7 +164,10 @@
                 false => Some(self.place().await?),
             };
             match place {
-                Some(place) => tries.push(self.start(place, ConnectionTrust::Any, flags)),
+                Some(place) => {
+                    let trust = self.trust_after_failure();
+                    tries.push(self.start(place, trust, flags));
+                }
                 None => return failed.ok_or_else(|| self.refusal_without_answer()),
             }
         }
@@ -206,6 +209,15 @@
         is_safe && self.may_send_again()
     }
 
+    /// After a connection that broke, the next send opens its own: servers that forgot one idle
+    /// connection forgot others too.
+    fn trust_after_failure(&self) -> ConnectionTrust {
+        match self.progress.last_unknown {
+            Some(_) => ConnectionTrust::New,
+            None => ConnectionTrust::Any,
+        }
+    }
+
     /// Whether one more send is allowed; takes its place in the budget.
     fn may_send_again(&mut self) -> bool {
         let now = Instant::now();
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -26,9 +26,10 @@
 }
 
 impl HostedDaemon {
-    /// Starts a daemon on a store.
+    /// Starts a daemon on a store, which is the only relay itself.
     pub fn start(program: &Path, store: SocketAddr) -> Self {
-        Self::start_with(program, store, free_port(), &[])
+        let relay = free_port();
+        Self::start_with(program, store, relay, &[relay])
     }
 
     /// Starts a daemon that reads the store itself or through relays.
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -76,6 +76,8 @@
     id: Box<str>,
     wire: WireInterface,
     behaviour: Mutex<HostedBehaviour>,
+    /// Status with which it answers health checks.
+    health: Mutex<StatusCode>,
     runs: Mutex<Vec<HostedRun>>,
     arrivals: AtomicU64,
 }
@@ -87,6 +89,7 @@
             id: id.into(),
             wire: wire_interface(),
             behaviour: Mutex::new(behaviour),
+            health: Mutex::new(StatusCode::OK),
             runs: Mutex::default(),
             arrivals: AtomicU64::new(0),
         });
@@ -115,6 +118,11 @@
         *self.state.behaviour.lock().expect("behaviour lock is never poisoned") = behaviour;
     }
 
+    /// Changes the status with which it answers health checks, whatever is true.
+    pub fn set_health(&self, status: StatusCode) {
+        *self.state.health.lock().expect("health lock is never poisoned") = status;
+    }
+
     /// What it began to run.
     pub fn runs(&self) -> Vec<HostedRun> {
         self.state.runs.lock().expect("run lock is never poisoned").clone()
@@ -150,7 +158,8 @@
 impl ServerState {
     async fn answer(&self, request: Request<Incoming>) -> Option<Response<WebBody>> {
         if request.uri().path() == HEALTH_PATH {
-            return Some(self.respond(StatusCode::OK, Bytes::new()));
+            let status = *self.health.lock().expect("health lock is never poisoned");
+            return Some(self.respond(status, Bytes::new()));
         }
         self.arrivals.fetch_add(1, Ordering::SeqCst);
         let behaviour = *self.behaviour.lock().expect("behaviour lock is never poisoned");
