--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -111,11 +111,19 @@
     background.spawn(flush_logs(logs));
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
-    background.spawn(serve_readiness(
-        readiness,
-        ReadinessParts { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() },
-    ));
+    let parts =
+        ReadinessParts { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() };
+    background.spawn(serve_readiness(readiness, parts.clone()));
     let hub = start_relay(&settings, &mut background, &log).await?;
+    if let Some(address) = settings.metrics {
+        // The port is the same on every deployment, so that another listener may have it.
+        match listen(address, "metrics").await {
+            Ok(listener) => {
+                background.spawn(serve_readiness(listener, parts));
+            }
+            Err(fault) => warn!(log, "metrics: only at the readiness address"; "reason" => %fault),
+        }
+    }
     let knowledge = Arc::new(Knowledge::new(
         Arc::clone(&board),
         Arc::clone(&services),
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -22,6 +22,9 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether this VM takes connections; metrics are here, too.
     pub readiness: SocketAddr,
+    /// Another address of the metrics, where readers need a fixed port.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Where other entry VMs subscribe to what this one knows of the store.
@@ -78,6 +81,7 @@
     required("zone", FieldKind::Name),
     required("callers", FieldKind::Text),
     required("readiness", FieldKind::Text),
+    FieldRule { name: "metrics", kind: FieldKind::Text, required: false },
     required("store", FieldKind::Text),
     required("relay", FieldKind::Text),
     required("relays", FieldKind::TextList(64)),
@@ -92,7 +96,7 @@
 ];
 
 /// Addresses in the settings, as JSON pointers.
-const HOSTED_ADDRESSES: &[&str] = &["/callers", "/readiness", "/relay", "/store"];
+const HOSTED_ADDRESSES: &[&str] = &["/callers", "/readiness", "/metrics", "/relay", "/store"];
 
 /// Reads and checks the settings file of a hosted entry VM.
 pub fn load_hosted_settings(path: &Path) -> Result<HostedSettings, SettingsFault> {
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -242,7 +242,9 @@
             faults.push(FieldFault::new(&path, "must be an IP address and port, as 10.0.0.1:8080"));
             continue;
         };
-        let is_own = !pointer.starts_with("/platform") && *pointer != "/store";
+        // Metrics do without their port where it is taken.
+        let is_own =
+            !pointer.starts_with("/platform") && !matches!(*pointer, "/store" | "/metrics");
         let clash = own.iter().find(|(_, other)| other.port() == address.port());
         if let Some((other, _)) = clash.filter(|_| is_own) {
             let problem = format!("port {} is used by {other} too", address.port());
--- a/components/testkit/examples/soak.rs
+++ b/components/testkit/examples/soak.rs
@@ -53,12 +53,12 @@
             report.calls,
             report.served,
             report.faults.len(),
-            report.broken.len()
+            report.broken.all().count()
         );
-        if !report.broken.is_empty() {
+        if report.broken.all().next().is_some() {
             failed.push(seed);
             report.faults.iter().for_each(|fault| println!("  {fault}"));
-            report.broken.iter().for_each(|broken| println!("  BROKEN: {broken}"));
+            report.broken.all().for_each(|broken| println!("  BROKEN: {broken}"));
             report.logs.iter().for_each(|log| println!("  log: {log}"));
         }
     }
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -23,6 +23,8 @@
     pub callers: SocketAddr,
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
+    /// Where metrics are read, besides.
+    pub metrics: SocketAddr,
 }
 
 impl HostedDaemon {
@@ -39,15 +41,15 @@
         relay: SocketAddr,
         relays: &[SocketAddr],
     ) -> Self {
-        let (callers, readiness) = (free_port(), free_port());
+        let (callers, readiness, metrics) = (free_port(), free_port(), free_port());
         let settings = json!({
             "vm": "entry-1", "zone": "zone-a", "callers": callers, "readiness": readiness,
-            "store": store, "relay": relay, "relays": relays, "grace_s": 30, "contact_s": 3,
+            "metrics": metrics, "store": store, "relay": relay, "relays": relays, "grace_s": 30, "contact_s": 3,
             "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
         });
         let name = format!("hosted-{}", callers.port());
         let process = TestProcess::start(program, &["--hosted"], &name, &settings);
-        Self { process, callers, readiness }
+        Self { process, callers, readiness, metrics }
     }
 
     /// Lines that it has logged so far which hold a text.
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -26,5 +26,5 @@
 };
 pub use platform_server::{PlatformStandIn, StoreBehaviour};
 pub use relay::CutRelay;
-pub use soak::{SoakOptions, SoakReport, SoakSize, run_soak};
+pub use soak::{BrokenPromises, SoakOptions, SoakReport, SoakSize, run_soak};
 pub use usage::{LineFit, ProcessUsage, read_metric};
--- a/components/testkit/src/relay.rs
+++ b/components/testkit/src/relay.rs
@@ -76,6 +76,11 @@
         self.silence();
     }
 
+    /// Lets new connections work again after `cut`.
+    pub fn restore(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+
     /// Makes all connections of now silent for good; new ones work.
     pub fn silence(&self) {
         self.generation.fetch_add(1, Ordering::SeqCst);
--- a/components/testkit/src/soak/checks.rs
+++ b/components/testkit/src/soak/checks.rs
@@ -19,9 +19,25 @@
 const SENDS_RATIO: f64 = 1.2;
 const SENDS_SLACK: f64 = 120.0;
 
-/// Broken promises, each with what was seen.
-pub(crate) async fn check(fleet: &mut SoakFleet, calls: &[CallRecord]) -> Vec<Box<str>> {
-    let mut broken: Vec<Box<str>> = Vec::new();
+/// Promises that were broken, each with what was seen.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct BrokenPromises {
+    /// Those that hold however busy the machine is.
+    pub always: Vec<Box<str>>,
+    /// Those with a bound in time, which a busy machine can break by itself.
+    pub timed: Vec<Box<str>>,
+}
+
+impl BrokenPromises {
+    /// All of them.
+    pub fn all(&self) -> impl Iterator<Item = &str> {
+        self.always.iter().chain(&self.timed).map(|said| &**said)
+    }
+}
+
+/// Looks for broken promises.
+pub(crate) async fn check(fleet: &mut SoakFleet, calls: &[CallRecord]) -> BrokenPromises {
+    let mut broken = BrokenPromises::default();
     let mut runs: HashMap<Box<str>, Vec<(Box<str>, HostedRun)>> = HashMap::new();
     for server in &fleet.servers {
         for run in server.server.runs() {
@@ -31,12 +47,13 @@
     }
     for call in calls {
         let ran = runs.get(&call.id).map_or(&[][..], Vec::as_slice);
-        broken.extend(check_call(call, ran).map(Box::from));
+        broken.always.extend(check_call(call, ran).map(Box::from));
+        broken.timed.extend(check_time(call).map(Box::from));
     }
-    broken.extend(check_cuts(fleet, calls, &runs));
-    broken.extend(check_leavers(fleet));
-    broken.extend(check_sends(fleet, calls));
-    broken.extend(check_versions(fleet).await);
+    broken.always.extend(check_cuts(fleet, calls, &runs));
+    broken.always.extend(check_sends(fleet, calls));
+    broken.timed.extend(check_leavers(fleet));
+    broken.timed.extend(check_versions(fleet).await);
     broken
 }
 
@@ -55,9 +72,13 @@
     if ran.iter().any(|(_, run)| run.deadline_ms > DEADLINE_MS) {
         return Some(format!("call {} was given more time than it had", said()));
     }
-    let late = call.ended_at.saturating_duration_since(call.sent_at);
-    (late > Duration::from_millis(DEADLINE_MS + 1_000))
-        .then(|| format!("call {} took {late:?}", said()))
+    None
+}
+
+fn check_time(call: &CallRecord) -> Option<String> {
+    let time = call.ended_at.saturating_duration_since(call.sent_at);
+    (time > Duration::from_millis(DEADLINE_MS + 1_000))
+        .then(|| format!("call {} took {time:?}", call.id))
 }
 
 /// Answers that were cut by a daemon that was neither killed nor frozen. One that ends may close a
--- a/components/testkit/src/soak/faults.rs
+++ b/components/testkit/src/soak/faults.rs
@@ -28,8 +28,14 @@
     StoreDelay(u64),
     #[display("store forgets its history")]
     Compact,
-    #[display("connections to the store go silent")]
-    SilenceStore,
+    #[display("connections of daemon {_0} to the store go silent")]
+    SilenceStore(usize),
+    #[display("daemon {_0} is cut off from the store")]
+    CutStore(usize),
+    #[display("all daemons reach the store again")]
+    RestoreStore,
+    #[display("server {_0} forgets its connections")]
+    ForgetServer(usize),
     #[display("connections to server {_0} go silent")]
     SilenceServer(usize),
     #[display("server {_0} treats requests as {_1:?}")]
@@ -77,12 +83,12 @@
 
 fn draw(random: &mut StdRng) -> FaultKind {
     let number = random.random_range(0..1_000);
-    match random.random_range(0..20) {
+    match random.random_range(0..23) {
         0 | 1 => FaultKind::Store(draw_store(random)),
         2 => FaultKind::Store(StoreBehaviour::Serve),
         3 => FaultKind::StoreDelay([0, 50, 400][number % 3]),
         4 => FaultKind::Compact,
-        5 => FaultKind::SilenceStore,
+        5 => FaultKind::SilenceStore(number),
         6 => FaultKind::SilenceServer(number),
         7 | 8 => FaultKind::Server(number, draw_behaviour(random)),
         9 => FaultKind::Server(number, HostedBehaviour::Run(Duration::from_millis(20))),
@@ -95,6 +101,8 @@
         16 => FaultKind::Terminate(number),
         17 => FaultKind::TerminateTwice(number),
         18 => FaultKind::Freeze(number),
+        19 | 20 => FaultKind::CutStore(number),
+        21 => [FaultKind::RestoreStore, FaultKind::ForgetServer(number)][number % 2],
         _ => [FaultKind::Thaw, FaultKind::HangUp(number)][number % 2],
     }
 }
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -39,17 +39,18 @@
 pub(crate) struct SoakDaemon {
     pub(crate) process: HostedDaemon,
     relay: SocketAddr,
+    /// Its own way to the store.
+    store: CutRelay,
 }
 
 /// Everything of one soak.
 pub(crate) struct SoakFleet {
     program: PathBuf,
     pub(crate) platform: PlatformStandIn,
-    store_relay: CutRelay,
     pub(crate) servers: Vec<SoakServer>,
     pub(crate) daemons: Vec<SoakDaemon>,
     /// Daemons that end after SIGTERM.
-    ending: Vec<HostedDaemon>,
+    ending: Vec<SoakDaemon>,
     relays: Vec<SocketAddr>,
     callers: Arc<Mutex<Vec<SocketAddr>>>,
     pub(crate) version: u64,
@@ -69,12 +70,10 @@
             SoakSize::Many => (12, 24),
         };
         let platform = PlatformStandIn::start().await;
-        let store_relay = CutRelay::start(platform.address()).await;
         let relays: Vec<SocketAddr> = (0..2).map(|_| free_port()).collect();
         let mut fleet = Self {
             program: program.to_owned(),
             platform,
-            store_relay,
             servers: Vec::new(),
             daemons: Vec::new(),
             ending: Vec::new(),
@@ -92,8 +91,8 @@
         }
         for number in 0..daemons {
             let relay = fleet.relays.get(number).copied().unwrap_or_else(free_port);
-            let process = fleet.spawn(relay);
-            fleet.daemons.push(SoakDaemon { process, relay });
+            let daemon = fleet.spawn(relay).await;
+            fleet.daemons.push(daemon);
         }
         for daemon in &mut fleet.daemons {
             daemon.process.wait_ready().await;
@@ -109,14 +108,14 @@
 
     /// Where the daemons' logs lie.
     pub(crate) fn logs(&self) -> Vec<Box<str>> {
-        let living = self.daemons.iter().map(|daemon| &daemon.process);
-        let all = living.chain(&self.ending);
-        all.map(|daemon| daemon.log_path().display().to_string().into()).collect()
+        let all = self.daemons.iter().chain(&self.ending);
+        all.map(|daemon| daemon.process.log_path().display().to_string().into()).collect()
     }
 
-    fn spawn(&self, relay: SocketAddr) -> HostedDaemon {
-        let store = self.store_relay.address;
-        HostedDaemon::start_with(&self.program, store, relay, &self.relays)
+    async fn spawn(&self, relay: SocketAddr) -> SoakDaemon {
+        let store = CutRelay::start(self.platform.address()).await;
+        let process = HostedDaemon::start_with(&self.program, store.address, relay, &self.relays);
+        SoakDaemon { process, relay, store }
     }
 
     async fn add_server(&mut self) {
@@ -141,10 +140,16 @@
                 self.platform.set_delay(Duration::from_millis(ms));
             }
             FaultKind::Compact => self.platform.forget_history(),
-            FaultKind::SilenceStore => {
+            FaultKind::SilenceStore(number) => {
                 self.store_harmed_at = Instant::now();
-                self.store_relay.silence();
+                self.daemon(number).store.silence();
             }
+            FaultKind::CutStore(number) => {
+                self.store_harmed_at = Instant::now();
+                self.daemon(number).store.cut();
+            }
+            FaultKind::RestoreStore => self.restore_store(),
+            FaultKind::ForgetServer(number) => self.server(number).relay.forget(),
             FaultKind::SilenceServer(number) => self.server(number).relay.silence(),
             FaultKind::Server(number, behaviour) => {
                 self.server(number).server.set_behaviour(behaviour);
@@ -163,18 +168,18 @@
                 daemon.process.kill();
                 let callers = daemon.process.callers;
                 self.harmed.push(callers);
-                self.replace(number);
+                self.replace(number).await;
             }
             FaultKind::Terminate(number) => {
                 self.daemon(number).process.terminate();
-                self.replace(number);
+                self.replace(number).await;
             }
             FaultKind::TerminateTwice(number) => {
                 let process = &self.daemon(number).process;
                 process.terminate();
                 process.hang_up();
                 process.terminate();
-                self.replace(number);
+                self.replace(number).await;
             }
             FaultKind::Freeze(number) => {
                 let daemon = self.daemon(number);
@@ -192,6 +197,7 @@
         self.store_harmed_at = Instant::now();
         self.platform.set_behaviour(StoreBehaviour::Serve);
         self.platform.set_delay(Duration::ZERO);
+        self.restore_store();
         self.thaw();
         for server in &self.servers {
             server.server.set_behaviour(CALM_BEHAVIOUR);
@@ -200,6 +206,13 @@
         self.platform.put_config(&config_of(self.version));
     }
 
+    fn restore_store(&mut self) {
+        self.store_harmed_at = Instant::now();
+        for daemon in &self.daemons {
+            daemon.store.restore();
+        }
+    }
+
     fn thaw(&mut self) {
         for daemon in &self.daemons {
             daemon.process.signal(Signal::CONT);
@@ -239,17 +252,17 @@
     }
 
     /// Starts a daemon in the place of one that ends.
-    fn replace(&mut self, number: usize) {
+    async fn replace(&mut self, number: usize) {
         let number = number % self.daemons.len();
         // A port that still closes is not taken over; relays come back at their addresses.
         let relay = free_port();
-        let process = self.spawn(relay);
-        let old = std::mem::replace(&mut self.daemons[number], SoakDaemon { process, relay });
+        let daemon = self.spawn(relay).await;
+        let old = std::mem::replace(&mut self.daemons[number], daemon);
         self.terminated.push(old.process.callers);
-        self.ending.push(old.process);
         if let Some(place) = self.relays.iter().position(|known| *known == old.relay) {
             self.relays[place] = relay;
         }
+        self.ending.push(old);
         self.share_callers();
     }
 
--- a/components/testkit/src/soak/mod.rs
+++ b/components/testkit/src/soak/mod.rs
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use tokio::time::{Instant, sleep, sleep_until};
 
+pub use crate::soak::checks::BrokenPromises;
 use crate::soak::checks::check;
 use crate::soak::faults::plan;
 use crate::soak::fleet::SoakFleet;
@@ -52,7 +53,7 @@
     /// Faults brought about, in order, with their times.
     pub faults: Vec<Box<str>>,
     /// Broken promises.
-    pub broken: Vec<Box<str>>,
+    pub broken: BrokenPromises,
     /// Logs of the daemons that lived at the end.
     pub logs: Vec<Box<str>>,
 }
--- a/tests/hosted_changes.rs
+++ b/tests/hosted_changes.rs
@@ -309,7 +309,10 @@
     fleet.platform.put_config(&with_route(2, "/one/"));
     wait_for(&fleet, "/one/1", 200).await;
 
-    let followed = subscribed_to(&fleet.daemon).expect("the subscription is logged");
+    // The log is written some time after what it tells.
+    let is_told = async || subscribed_to(&fleet.daemon).is_some();
+    eventually("the subscription is logged", is_told).await;
+    let followed = subscribed_to(&fleet.daemon).expect("it is logged");
     let index = addresses.iter().position(|address| *address == followed);
     relays[index.expect("it is one of the relays")].kill();
     fleet.platform.put_config(&with_route(3, "/two/"));
@@ -317,7 +320,10 @@
     let leaving = fleet.servers[0].record.clone();
     fleet.platform.put_server(&ServerRecord { is_leaving: true, sequence: 2, ..leaving });
     wait_unused(&fleet, &fleet.servers[0]).await;
-    assert_ne!(subscribed_to(&fleet.daemon), Some(followed));
+    eventually("the other subscription is logged", async || {
+        subscribed_to(&fleet.daemon) != Some(followed)
+    })
+    .await;
 }
 
 /// The relay that a daemon subscribed to last.
--- a/tests/hosted_logs.rs
+++ b/tests/hosted_logs.rs
@@ -77,3 +77,15 @@
     has("daemon: shutdown begins").await;
     has("daemon: stopped").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_read_at_both_addresses_and_count_requests() {
+    let fleet = fleet(1).await;
+    assert_eq!(call(&fleet.lookup()).await.expect("answered").status, 200);
+    for address in [fleet.daemon.readiness, fleet.daemon.metrics] {
+        let answer = call(&CallRequest::get(address, "test", "/metrics")).await;
+        let text = answer.expect("metrics are answered").text();
+        assert!(text.contains("mustardrail_requests_total{outcome=\"answered\"} 1"), "{text}");
+        assert!(text.contains("mustardrail_request_seconds_count 1"), "{text}");
+    }
+}
