Crate lab; in a crowded group only requests that can be in time get a free slot

Change: admission, hold steps, second sends and come-back times are functions of balance (were in proxy). Where reports say that 0.95 of the slots are in use, a request goes only where a slot is free and its target within reach. Looks don't grow with the requests that an entry VM holds.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -38,6 +38,10 @@
 /// Weight of the newest report in the group's mean load.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Part of the slots in use from which a group counts as crowded: a free slot is then wanted by
+/// several requests.
+const CROWDED: f64 = 0.95;
+
 /// Part of a group that may be ejected at a time; beyond it, a bad server is better than none.
 const MAX_EJECTED_PART: f64 = 0.34;
 
@@ -63,6 +67,8 @@
     means: GroupMeans,
     /// Smoothed slowness over all reports.
     usual_slowness: f64,
+    /// Smoothed requests for each slot, running and waiting, over all reports.
+    occupancy: f64,
     has_reports: bool,
     /// Health checks that were answered without a report before there was any.
     blank_answers: u32,
@@ -77,6 +83,7 @@
             next_serial: 0,
             means: GroupMeans { others_per_slot: 0.0 },
             usual_slowness: 1.0,
+            occupancy: 0.0,
             has_reports: false,
             blank_answers: 0,
         }
@@ -88,6 +95,11 @@
         self.has_reports || self.blank_answers < BLANK_ANSWERS
     }
 
+    /// Whether nearly all slots are in use, as far as the reports tell.
+    pub fn is_crowded(&self) -> bool {
+        self.occupancy > CROWDED
+    }
+
     /// Notes a health check that was answered without a report.
     pub fn note_blank_answer(&mut self) {
         self.blank_answers += 1;
@@ -251,6 +263,8 @@
         state.take_report(figures, now);
         let others = state.report.map_or(0.0, |report| report.others);
         let per_slot = others / f64::from(state.listed.slots);
+        let in_use = f64::from(figures.running + figures.waiting) / f64::from(state.listed.slots);
+        self.occupancy += (in_use - self.occupancy) * MEAN_WEIGHT;
         self.means.others_per_slot += (per_slot - self.means.others_per_slot) * MEAN_WEIGHT;
         self.usual_slowness += (figures.slowness - self.usual_slowness) * MEAN_WEIGHT;
         self.has_reports = true;
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -5,10 +5,14 @@
 //! from answers alone. So a few candidates are asked right before a request is sent, and the
 //! request goes to the one that is expected to end it first.
 
+mod admission;
 mod estimate;
 mod group;
 mod server;
 
+pub use admission::{
+    AdmissionStep, RequestTimes, admit, come_back_late, come_back_soon, hedge_after, hold_step,
+};
 pub use estimate::{PlacementEstimate, RequestShape};
 pub use group::{PlacementGroup, PlacementOptions};
 pub use server::{LoadFigures, PlacedServer};
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use balance::{
-    LoadFigures, PlacedServer, PlacementGroup, PlacementOptions, RequestShape, SampleOutcome,
-    ServerTicket,
+    AdmissionStep, LoadFigures, PlacedServer, PlacementEstimate, PlacementGroup, PlacementOptions,
+    RequestShape, RequestTimes, SampleOutcome, ServerTicket, admit, hold_step,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -213,3 +213,69 @@
     group.take_report(one, report(0, 0, 1.0), now);
     assert!(group.is_worth_asking());
 }
+
+/// What becomes of a request with these expectations, a target in 600 ms and a deadline in 1.5 s.
+fn step(wait: f64, run: f64, is_crowded: bool) -> AdmissionStep {
+    let now = Instant::now();
+    let times = RequestTimes {
+        target_at: now + Duration::from_millis(600),
+        deadline: now + Duration::from_millis(1_500),
+    };
+    let shape = RequestShape { work: Duration::from_millis(220), bytes: 0 };
+    admit(&PlacementEstimate { wait, run, cost: wait + run }, shape, times, is_crowded, now)
+}
+
+#[test]
+fn a_request_is_sent_where_it_is_in_time_or_a_slot_is_spare_and_held_else() {
+    assert_eq!(step(0.0, 0.3, false), AdmissionStep::Send);
+    assert_eq!(step(0.2, 0.3, false), AdmissionStep::Send);
+    assert_eq!(step(0.0, 1.1, false), AdmissionStep::Send);
+    assert_eq!(step(0.4, 0.3, false), AdmissionStep::Hold);
+}
+
+/// Several entry VMs see each slot that comes free in a crowded group, so nothing is sent to wait
+/// at a server, and what can only be late leaves the slot to others.
+#[test]
+fn in_a_crowded_group_only_a_free_slot_and_an_answer_in_time_count() {
+    assert_eq!(step(0.0, 0.3, true), AdmissionStep::Send);
+    assert_eq!(step(0.2, 0.3, true), AdmissionStep::Hold);
+    assert_eq!(step(0.0, 1.1, true), AdmissionStep::Hold);
+}
+
+#[test]
+fn a_request_that_can_not_be_in_time_any_more_is_refused_at_once() {
+    let now = Instant::now();
+    let shape = RequestShape { work: Duration::from_millis(220), bytes: 0 };
+    let estimate = PlacementEstimate { wait: 0.4, run: 0.3, cost: 0.7 };
+    let at = |millis| now + Duration::from_millis(millis);
+    let times = RequestTimes { target_at: at(200), deadline: at(1_500) };
+    assert_eq!(admit(&estimate, shape, times, false, now), AdmissionStep::Refuse);
+    let free = PlacementEstimate { wait: 0.0, run: 0.2, cost: 0.2 };
+    let times = RequestTimes { target_at: at(600), deadline: at(200) };
+    assert_eq!(admit(&free, shape, times, false, now), AdmissionStep::Refuse);
+}
+
+#[test]
+fn a_group_is_crowded_while_reports_say_that_its_slots_are_in_use() {
+    let now = Instant::now();
+    let mut group = group();
+    group.set_servers(&[server("s", "a")], now);
+    let tickets = all(&group, now);
+    for _ in 0..200 {
+        group.take_report(tickets[0], report(2, 0, 1.0), now);
+    }
+    assert!(group.is_crowded());
+    for _ in 0..20 {
+        group.take_report(tickets[0], report(0, 0, 1.0), now);
+    }
+    assert!(!group.is_crowded());
+}
+
+#[test]
+fn an_entry_vm_looks_as_often_however_many_requests_it_holds() {
+    let shape = RequestShape { work: Duration::from_millis(500), bytes: 0 };
+    assert_eq!(hold_step(1, shape), Duration::from_millis(50));
+    assert_eq!(hold_step(6, shape), Duration::from_millis(300));
+    let short = RequestShape { work: Duration::from_millis(50), bytes: 0 };
+    assert_eq!(hold_step(2, short), Duration::from_millis(20));
+}
--- /dev/null
+++ b/components/lab/src/cli.rs
@@ -0,0 +1,71 @@
+//! The lab's command line.
+
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use lab::LabPolicy;
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use miette::{IntoDiagnostic, Result, miette};
+
+/// Seeds that a run plays when none are asked for: enough to see a spread.
+const USUAL_SEEDS: u64 = 20;
+
+/// What is printed for `--help`.
+const HELP: &str = "\
+lab [OPTIONS] SCENARIO.json...
+
+Plays scenarios with several policies over the same seeds and prints a table.
+
+  --policies NAME,...  policies to compare; all if none are named
+  --seeds N            seeds for each, counted from --first-seed (20)
+  --first-seed N       (1)
+  --plots DIR          writes an SVG plot for each scenario into the folder
+";
+
+/// What the command line asks for.
+pub(crate) struct LabArguments {
+    pub(crate) scenarios: Vec<PathBuf>,
+    pub(crate) policies: Vec<LabPolicy>,
+    pub(crate) seeds: std::ops::Range<u64>,
+    pub(crate) plots: Option<PathBuf>,
+}
+
+impl LabArguments {
+    /// Reads the arguments of the process; `None` when help was asked for and printed.
+    pub(crate) fn read() -> Result<Option<Self>> {
+        let mut parser = lexopt::Parser::from_env();
+        let mut scenarios = Vec::new();
+        let mut policies = LabPolicy::all().to_vec();
+        let (mut first, mut count, mut plots) = (1, USUAL_SEEDS, None);
+        while let Some(argument) = parser.next().into_diagnostic()? {
+            match argument {
+                Short('h') | Long("help") => {
+                    println!("{HELP}");
+                    return Ok(None);
+                }
+                Long("policies") => {
+                    let names = parser.value().into_diagnostic()?.string().into_diagnostic()?;
+                    let read: std::result::Result<_, _> =
+                        names.split(',').map(LabPolicy::from_str).collect();
+                    policies = read.into_diagnostic()?;
+                }
+                Long("seeds") => count = number(&mut parser)?,
+                Long("first-seed") => first = number(&mut parser)?,
+                Long("plots") => plots = Some(parser.value().into_diagnostic()?.into()),
+                Value(path) => scenarios.push(path.into()),
+                other => return Err(other.unexpected()).into_diagnostic(),
+            }
+        }
+        if scenarios.is_empty() {
+            return Err(miette!("no scenario is named; see --help"));
+        }
+        if count == 0 {
+            return Err(miette!("--seeds must be 1 or more"));
+        }
+        Ok(Some(Self { scenarios, policies, seeds: first..first + count, plots }))
+    }
+}
+
+fn number(parser: &mut lexopt::Parser) -> Result<u64> {
+    parser.value().into_diagnostic()?.parse().into_diagnostic()
+}
--- /dev/null
+++ b/components/lab/src/lib.rs
@@ -0,0 +1,23 @@
+//! A model of entry VMs and backend servers under load, driven by the decisions of `balance` and
+//! `limits` themselves.
+//!
+//! Time is simulated and all chance comes from a seed, so that two runs with the same seed are the
+//! same, and policies are compared on the same arrivals, speeds and crashes.
+
+mod callers;
+mod outcome;
+mod placing;
+mod plot;
+mod policy;
+mod report;
+mod scenario;
+mod server;
+mod vm;
+mod world;
+
+pub use outcome::{LabOutcome, LabSummary, MeanSpread, summarize};
+pub use plot::{PlotFault, draw_policies};
+pub use policy::{LabPolicy, UnknownPolicy};
+pub use report::render_table;
+pub use scenario::{LabScenario, ScenarioFault};
+pub use world::run_scenario;
--- /dev/null
+++ b/components/lab/src/main.rs
@@ -0,0 +1,68 @@
+//! Plays scenarios and compares policies.
+
+mod cli;
+
+use std::thread;
+
+use lab::{
+    LabOutcome, LabPolicy, LabScenario, LabSummary, draw_policies, render_table, run_scenario,
+    summarize,
+};
+use miette::{IntoDiagnostic, Result, miette};
+
+use cli::LabArguments;
+
+fn main() -> Result<()> {
+    let Some(arguments) = LabArguments::read()? else {
+        return Ok(());
+    };
+    if let Some(folder) = &arguments.plots {
+        std::fs::create_dir_all(folder).into_diagnostic()?;
+    }
+    let mut summaries = Vec::new();
+    for path in &arguments.scenarios {
+        let scenario = LabScenario::load(path).into_diagnostic()?;
+        let of_scenario: Vec<LabSummary> = arguments
+            .policies
+            .iter()
+            .map(|policy| {
+                let runs = run_seeds(&scenario, *policy, &arguments)?;
+                Ok(summarize(&scenario.name, policy.name(), &runs))
+            })
+            .collect::<Result<_>>()?;
+        if let Some(folder) = &arguments.plots {
+            let path = folder.join(format!("{}.svg", scenario.name));
+            draw_policies(&path, &of_scenario).into_diagnostic()?;
+        }
+        summaries.extend(of_scenario);
+    }
+    print!("{}", render_table(&summaries));
+    Ok(())
+}
+
+/// Plays all seeds, on half of the machine's cores.
+fn run_seeds(
+    scenario: &LabScenario,
+    policy: LabPolicy,
+    arguments: &LabArguments,
+) -> Result<Vec<LabOutcome>> {
+    let cores = thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    let threads = (cores / 2).max(1);
+    let seeds: Vec<u64> = arguments.seeds.clone().collect();
+    let part = seeds.len().div_ceil(threads);
+    let parts = thread::scope(|scope| {
+        let running: Vec<_> = seeds
+            .chunks(part)
+            .map(|seeds| {
+                let play = |seed: &u64| run_scenario(scenario, policy, *seed);
+                scope.spawn(move || seeds.iter().map(play).collect::<Vec<_>>())
+            })
+            .collect();
+        running.into_iter().map(thread::ScopedJoinHandle::join).collect::<Vec<_>>()
+    });
+    let mut runs = Vec::new();
+    for part in parts {
+        runs.extend(part.map_err(|_| miette!("policy {policy} broke a run of {}", scenario.name))?);
+    }
+    Ok(runs)
+}
--- /dev/null
+++ b/components/lab/src/plot.rs
@@ -0,0 +1,79 @@
+//! Plots of policies side by side.
+
+use std::path::Path;
+
+use derive_more::{Display, Error};
+use plotters::prelude::{
+    BLACK, BLUE, ChartBuilder, Circle, IntoDrawingArea, PathElement, RED, SVGBackend, WHITE,
+};
+use plotters::style::Color;
+
+use crate::outcome::{LabSummary, MeanSpread};
+
+/// Size of a plot, in pixels.
+const PLOT_SIZE: (u32, u32) = (900, 420);
+
+/// Why a plot can't be drawn.
+#[derive(Debug, Display, Error)]
+#[display("plot {path} can't be drawn: {reason}")]
+pub struct PlotFault {
+    path: Box<str>,
+    reason: Box<str>,
+}
+
+/// Draws the policies of one scenario: callers served within their target, over the whole run and in
+/// the worst windows, with one standard deviation to each side.
+pub fn draw_policies(path: &Path, summaries: &[LabSummary]) -> Result<(), PlotFault> {
+    draw(path, summaries).map_err(|error| PlotFault {
+        path: path.display().to_string().into(),
+        reason: error.to_string().into(),
+    })
+}
+
+fn draw(path: &Path, summaries: &[LabSummary]) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let scenario = summaries.first().map_or("", |summary| &summary.scenario);
+    let last = summaries.len() as f64 - 0.5;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(format!("{scenario}: served within the target"), ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(32)
+        .y_label_area_size(48)
+        .build_cartesian_2d(-0.5..last, 0.0..1.0)?;
+    let name = |at: &f64| {
+        let is_whole = (at - at.round()).abs() < 0.01;
+        let index = is_whole.then(|| at.round() as usize);
+        let summary = index.and_then(|index| summaries.get(index));
+        summary.map_or_else(String::new, |summary| summary.policy.to_owned())
+    };
+    chart
+        .configure_mesh()
+        .x_labels(2 * summaries.len() + 1)
+        .x_label_formatter(&name)
+        .y_desc("part of the callers")
+        .draw()?;
+    let whole: Vec<MeanSpread> = summaries.iter().map(|summary| summary.in_target).collect();
+    let worst: Vec<MeanSpread> = summaries.iter().map(|summary| summary.worst_windows).collect();
+    let series = [("whole run", BLUE, whole, -0.08), ("two worst windows", RED, worst, 0.08)];
+    for (label, color, values, shift) in series {
+        let places: Vec<(f64, MeanSpread)> = values
+            .into_iter()
+            .enumerate()
+            .map(|(index, value)| (index as f64 + shift, value))
+            .collect();
+        chart.draw_series(places.iter().map(|(at, value)| {
+            let ends = [(*at, value.mean - value.spread), (*at, value.mean + value.spread)];
+            PathElement::new(ends, color.stroke_width(2))
+        }))?;
+        chart
+            .draw_series(
+                places.iter().map(|(at, value)| Circle::new((*at, value.mean), 4, color.filled())),
+            )?
+            .label(label)
+            .legend(move |(x, y)| Circle::new((x + 8, y), 4, color.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/components/lab/src/vm.rs
@@ -0,0 +1,106 @@
+//! One entry VM of the model: the daemon's own decisions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balance::{
+    PlacedServer, PlacementEstimate, PlacementGroup, PlacementOptions, SampleOutcome, ServerTicket,
+};
+use limits::{ArrivalBudget, ArrivalLimits};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+use crate::scenario::LabScenario;
+
+/// Port of the first server; a server's number is its port less this.
+const FIRST_PORT: usize = 1;
+
+/// Cost of a way to another zone; the model has one zone.
+const NO_COST: Duration = Duration::ZERO;
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ModelPlace {
+    pub(crate) server: usize,
+    /// `None` for policies that don't use the group.
+    pub(crate) ticket: Option<ServerTicket>,
+    pub(crate) estimate: PlacementEstimate,
+}
+
+/// One entry VM.
+pub(crate) struct ModelVm {
+    pub(crate) group: PlacementGroup,
+    pub(crate) budget: ArrivalBudget,
+    /// Its own requests at each server.
+    own: Vec<u32>,
+}
+
+impl ModelVm {
+    pub(crate) fn new(scenario: &LabScenario, number: usize, now: Instant) -> Self {
+        let options = PlacementOptions {
+            vm: format!("vm-{number}").into(),
+            zone: "zone-a".parse().expect("the name is valid"),
+            zone_cost: NO_COST,
+            zone_cost_per_kib: NO_COST,
+        };
+        let mut group = PlacementGroup::new(options);
+        let servers: Vec<PlacedServer> =
+            (0..scenario.servers).map(|server| placed(scenario, server)).collect();
+        group.set_servers(&servers, now);
+        let limits = ArrivalLimits {
+            ratio: scenario.budget.ratio,
+            slack: scenario.budget.slack,
+            window: Duration::from_secs_f64(scenario.budget.window_s),
+        };
+        Self { group, budget: ArrivalBudget::new(limits), own: vec![0; scenario.servers] }
+    }
+
+    /// The number of the server that a ticket names.
+    pub(crate) fn server_of(&self, ticket: ServerTicket) -> Option<usize> {
+        let (_, address) = self.group.place(ticket)?;
+        Some(usize::from(address.port()) - FIRST_PORT)
+    }
+
+    /// The server with the fewest of this VM's own requests; one of several by chance.
+    pub(crate) fn least_own(&self, random: &mut StdRng) -> usize {
+        let least = self.own.iter().min().copied().unwrap_or(0);
+        let best: Vec<usize> =
+            (0..self.own.len()).filter(|server| self.own[*server] == least).collect();
+        best[random.random_range(0..best.len())]
+    }
+
+    /// Notes that a request is sent.
+    pub(crate) fn begin(&mut self, place: &ModelPlace) {
+        self.own[place.server] += 1;
+        if let Some(ticket) = place.ticket {
+            self.group.begin(ticket);
+        }
+    }
+
+    /// Notes that a send has ended.
+    pub(crate) fn finish(
+        &mut self,
+        place: &ModelPlace,
+        outcome: SampleOutcome,
+        report: Option<balance::LoadFigures>,
+        now: Instant,
+    ) {
+        self.own[place.server] -= 1;
+        if let Some(ticket) = place.ticket {
+            self.group.finish(ticket, outcome, report, now);
+        }
+    }
+}
+
+fn placed(scenario: &LabScenario, server: usize) -> PlacedServer {
+    PlacedServer {
+        id: format!("server-{server}").parse().expect("the name is valid"),
+        born_ms: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], (server + FIRST_PORT) as u16)),
+        zone: "zone-a".parse().expect("the name is valid"),
+        slots: scenario.slots,
+        is_leaving: false,
+        warmup_left: Duration::ZERO,
+    }
+}
--- a/components/model/src/jitter.rs
+++ b/components/model/src/jitter.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
+use rand::{Rng, RngExt};
 
 /// A random time from half to one and a half of `mean`, so that equal VMs do not act in step.
 pub fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::rng().random_range(0.5..1.5))
+    jittered_with(mean, &mut rand::rng())
+}
+
+/// The same from a random source.
+pub fn jittered_with(mean: Duration, random: &mut impl Rng) -> Duration {
+    mean.mul_f64(random.random_range(0.5..1.5))
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -12,7 +12,7 @@
     AccountId, AttemptId, GroupName, NameError, OperationId, RecordName, RevisionNumber,
     SchemaVersion, ServerId, VmId, ZoneName,
 };
-pub use jitter::jittered;
+pub use jitter::{jittered, jittered_with};
 pub use quantities::{ByteSize, ProbeRate, RequestRate};
 pub use record::{RecordKey, RecordKind, VersionedRecord, parse_record};
 pub use specs::{
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -4,7 +4,6 @@
 //! more than once is also sent again when a server broke off or failed, and a second time when the
 //! first server takes too long. Every further send needs a place in the service's budget.
 
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -13,10 +12,12 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Request;
 use hyper::header::HeaderValue;
-use rand::RngExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use balance::{RequestShape, ServerTicket};
+use balance::{
+    AdmissionStep, RequestShape, RequestTimes, ServerTicket, admit, come_back_late, come_back_soon,
+    hedge_after, hold_step,
+};
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
 use routes::{HostedRoute, RepeatRule, ServiceName, WireInterface};
@@ -35,22 +36,9 @@
 /// the end of the time that they were given.
 const ANSWER_MARGIN: Duration = Duration::from_millis(80);
 
-/// Part of the target after which a slow first send gets a second one beside it.
-const HEDGE_PART: f64 = 0.6;
-
 /// Time between two tries to begin a second send.
 const HEDGE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time between two looks for a free server. A twentieth of the shortest target of the users.
-const HOLD_STEP: Duration = Duration::from_millis(20);
-
-/// Part of the caller's time at which it comes back to a busy service. Callers honour a third.
-const HONOURED_PART: Range<f64> = 0.2..0.32;
-
-/// Part of the usual time of a request after which a caller comes back to a service that refused it
-/// though it was not busy.
-const SOON_PART: Range<f64> = 0.05..0.25;
-
 /// A request on its way.
 pub(crate) struct HostedDispatch<'a> {
     pub(crate) wire: &'a Arc<WireInterface>,
@@ -231,29 +219,25 @@
         self.progress.sends == 0 || self.service.budget().take_extra(now)
     }
 
-    /// Chooses a server. While none can end the request by its target, it waits here: a request in
-    /// a server's queue takes the slot of one that could still be in time.
+    /// Chooses a server. While none can end the request by its target, it waits here.
     async fn place(&mut self) -> Result<ChosenPlace, HostedRefusal> {
+        let service = Arc::clone(self.service);
+        let mut held = None;
         loop {
             let Some(place) = self.choose().await else {
                 return Err(HostedRefusal::NoServer);
             };
-            let now = Instant::now();
-            let expected = Duration::from_secs_f64(place.estimate.wait + place.estimate.run);
-            self.progress.expected = expected;
-            if now + self.shape.work > self.deadline {
-                return Err(HostedRefusal::Busy(self.come_back()));
-            }
-            let is_in_time = now + expected <= self.target_at;
-            let is_free = place.estimate.wait <= 0.0;
-            if is_in_time || is_free {
-                return Ok(place);
-            }
-            if now + self.shape.work > self.target_at {
-                return Err(HostedRefusal::Busy(self.come_back()));
+            self.progress.expected = place.estimate.expected();
+            let times = RequestTimes { target_at: self.target_at, deadline: self.deadline };
+            let is_crowded = self.service.group().is_crowded();
+            match admit(&place.estimate, self.shape, times, is_crowded, Instant::now()) {
+                AdmissionStep::Send => return Ok(place),
+                AdmissionStep::Refuse => return Err(HostedRefusal::Busy(self.come_back())),
+                AdmissionStep::Hold => {}
             }
             drop(place);
-            sleep(jittered(HOLD_STEP)).await;
+            let held = held.get_or_insert_with(|| service.hold());
+            sleep(jittered(hold_step(held.count(), self.shape))).await;
         }
     }
 
@@ -272,9 +256,7 @@
     }
 
     fn hedge_at(&self, place: &ChosenPlace) -> Instant {
-        let expected = Duration::from_secs_f64(place.estimate.wait + place.estimate.run);
-        let patience = self.route.target.mul_f64(HEDGE_PART);
-        Instant::now() + expected.max(patience)
+        Instant::now() + hedge_after(&place.estimate, self.route.target)
     }
 
     /// Begins a send.
@@ -324,18 +306,17 @@
         HostedRefusal::LateUnsent
     }
 
-    /// When the caller may come back after servers had no room: as late as it honours, since this
-    /// attempt's target is out of reach and the load must pass.
+    /// When the caller may come back to a busy service.
     fn come_back(&self) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        left.mul_f64(rand::rng().random_range(HONOURED_PART))
+        come_back_late(self.time_left(), &mut rand::rng())
     }
 
-    /// When the caller may come back after servers refused the request for another reason: soon,
-    /// since another try is as likely to be taken then.
+    /// When the caller may come back after servers that had room refused the request.
     fn come_back_soon(&self) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let soon = self.shape.work.mul_f64(rand::rng().random_range(SOON_PART));
-        soon.min(left.mul_f64(HONOURED_PART.end))
+        come_back_soon(self.shape, self.time_left(), &mut rand::rng())
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 }
--- a/components/proxy/src/hosted/placing.rs
+++ b/components/proxy/src/hosted/placing.rs
@@ -32,14 +32,6 @@
 /// How long a probe may take before its server counts as unreachable.
 const PROBE_TIME: Duration = Duration::from_millis(300);
 
-/// A server whose expected time is at most this many times the usual time of work is taken without
-/// looking at others.
-const GOOD_ENOUGH: f64 = 1.15;
-
-/// A server whose expected time is at most this many times the usual time is taken after one
-/// round.
-const ACCEPTABLE: f64 = 1.6;
-
 /// What placing needs.
 pub(crate) struct PlacingParts<'a> {
     pub(crate) service: &'a Arc<HostedService>,
@@ -78,7 +70,7 @@
         excluded.extend(&candidates);
         ask(parts, &candidates, shape).await;
         let best = parts.service.group().best(&looked_at, shape, Instant::now());
-        if best.is_some_and(|(_, estimate)| is_within(estimate, shape, ACCEPTABLE)) {
+        if best.is_some_and(|(_, estimate)| estimate.is_acceptable(shape)) {
             break;
         }
     }
@@ -112,7 +104,7 @@
         let best = parts.service.group().best(candidates, shape, Instant::now());
         let is_good = best.is_some_and(|(ticket, estimate)| {
             let is_known = parts.service.group().is_fresh(ticket, FRESH, Instant::now());
-            is_known && is_within(estimate, shape, GOOD_ENOUGH)
+            is_known && estimate.is_good(shape)
         });
         if is_good {
             break;
@@ -122,10 +114,6 @@
     probes.detach_all();
 }
 
-fn is_within(estimate: PlacementEstimate, shape: RequestShape, factor: f64) -> bool {
-    estimate.cost <= shape.work.as_secs_f64() * factor
-}
-
 async fn probe(
     service: Arc<HostedService>,
     wire: Arc<WireInterface>,
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -1,5 +1,6 @@
 //! Servers, connections and budgets of each service.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
     pub(crate) name: ServiceName,
     group: Mutex<PlacementGroup>,
     budget: Mutex<ArrivalBudget>,
+    /// Requests that wait here for a server.
+    held: AtomicUsize,
     pub(crate) pool: ConnectionPool,
 }
 
@@ -33,12 +36,36 @@
         self.group.lock().expect("group lock is never poisoned")
     }
 
+    /// Counts a request that waits here for a server, until the guard is dropped.
+    pub(crate) fn hold(&self) -> HeldRequest<'_> {
+        self.held.fetch_add(1, Ordering::AcqRel);
+        HeldRequest { service: self }
+    }
+
     /// Its budget of extra arrivals.
     pub(crate) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
         self.budget.lock().expect("budget lock is never poisoned")
     }
 }
 
+/// A request that waits for a server.
+pub(crate) struct HeldRequest<'a> {
+    service: &'a HostedService,
+}
+
+impl HeldRequest<'_> {
+    /// Requests that wait with it, itself among them.
+    pub(crate) fn count(&self) -> usize {
+        self.service.held.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for HeldRequest<'_> {
+    fn drop(&mut self) {
+        self.service.held.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// All services that routes or servers have named.
 pub struct HostedServices {
     options: PlacementOptions,
@@ -125,6 +152,7 @@
             name: name.clone(),
             group: Mutex::new(PlacementGroup::new(self.options.clone())),
             budget: Mutex::new(ArrivalBudget::new(*self.limits())),
+            held: AtomicUsize::new(0),
             pool: ConnectionPool::with_idle_limit(IDLE_CONNECTIONS),
         })
     }
