Relays tell a subscriber only what it does not know

Change: a relay keeps the last 64 changes and sends those since the version that a subscriber knows. Not measured yet with it.

--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -4,6 +4,7 @@
 //! old its own knowledge is, and a subscriber that finds it too old or silent reads the store
 //! itself. So a wrong or slow relay costs calls, never a rule.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -33,6 +34,10 @@
 /// Messages that may wait for one subscriber; a slower one is cut off and subscribes anew.
 const WAITING_MESSAGES: usize = 64;
 
+/// Changes of the list that are kept for subscribers that know an earlier version. One that knows
+/// less is told the whole list.
+const KEPT_CHANGES: usize = 64;
+
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -86,12 +91,22 @@
 struct HubState {
     config: Option<KnownNews>,
     servers: Option<KnownNews>,
+    /// Invariant: each begins at the version at which the one before ends; the last ends at the
+    /// version of `servers`.
+    changes: VecDeque<KnownChanges>,
     config_confirmed: Option<Instant>,
     servers_confirmed: Option<Instant>,
     is_store_away: bool,
     members: MemberCount,
 }
 
+/// What changed in the list between two versions of the store, in its encoding.
+struct KnownChanges {
+    after: u64,
+    version: u64,
+    message: Bytes,
+}
+
 /// The newest of one kind of news.
 struct KnownNews {
     version: u64,
@@ -115,12 +130,35 @@
     }
 }
 
+impl HubState {
+    fn keep_changes(&mut self, changes: KnownChanges) {
+        if self.changes.len() == KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(changes);
+    }
+
+    /// What a subscriber that knows a version of the list must be told; `None` when only the whole
+    /// list will do.
+    fn changes_since(&self, known: u64) -> Option<Vec<Bytes>> {
+        let newest = self.servers.as_ref()?.version;
+        let untold: Vec<&KnownChanges> =
+            self.changes.iter().filter(|changes| changes.version > known).collect();
+        let is_gapless = match untold.first() {
+            Some(first) => first.after <= known,
+            None => known >= newest,
+        };
+        is_gapless.then(|| untold.into_iter().map(|changes| changes.message.clone()).collect())
+    }
+}
+
 impl RelayHub {
     /// A hub without subscribers; what a member took of a shared budget counts for `window`.
     pub fn new(window: Duration) -> Self {
         let state = HubState {
             config: None,
             servers: None,
+            changes: VecDeque::new(),
             config_confirmed: None,
             servers_confirmed: None,
             is_store_away: false,
@@ -167,13 +205,19 @@
     ) -> Result<(), PeerFault> {
         let mut news = KnownNews::new(version, RelayMessage::Servers { version, records });
         let mut state = self.state();
-        if self.news.receiver_count() > 0 {
-            let after = state.servers.as_ref().map_or(0, |known| known.version);
-            let message = match changes {
-                Some(changes) => encode(&RelayMessage::Changes { after, version, changes })?,
-                None => news.encode()?,
-            };
-            self.send(message);
+        let after = state.servers.as_ref().map(|known| known.version);
+        match after.zip(changes) {
+            Some((after, changes)) => {
+                let message = encode(&RelayMessage::Changes { after, version, changes })?;
+                self.send(message.clone());
+                state.keep_changes(KnownChanges { after, version, message });
+            }
+            None => {
+                state.changes.clear();
+                if self.news.receiver_count() > 0 {
+                    self.send(news.encode()?);
+                }
+            }
         }
         state.servers = Some(news);
         Ok(())
@@ -207,11 +251,16 @@
         known: &KnownVersions,
     ) -> Result<(Vec<Bytes>, broadcast::Receiver<Bytes>), PeerFault> {
         let mut state = self.state();
-        let HubState { config, servers, .. } = &mut *state;
         let mut untold = Vec::new();
-        for (news, known) in [(config, known.config), (servers, known.servers)] {
-            if let Some(news) = news.as_mut().filter(|news| known < Some(news.version)) {
-                untold.push(news.encode()?);
+        if let Some(news) = state.config.as_mut().filter(|news| known.config < Some(news.version)) {
+            untold.push(news.encode()?);
+        }
+        match known.servers.and_then(|known| state.changes_since(known)) {
+            Some(changes) => untold.extend(changes),
+            None => {
+                if let Some(news) = state.servers.as_mut() {
+                    untold.push(news.encode()?);
+                }
             }
         }
         Ok((untold, self.news.subscribe()))
