--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -22,6 +22,9 @@
 /// Requests that a server runs at a time.
 const SLOTS: u32 = 4;
 
+/// Identity of the server that has an address now which served another one.
+const OTHER_ID: &str = "other-server";
+
 /// How a server treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HostedBehaviour {
@@ -166,8 +169,11 @@
         let names = &self.wire.headers;
         let id = request.headers().get(&names.request_id).cloned();
         let expected = request.headers().get(&names.expected_server);
-        let is_other = expected.is_some_and(|name| name.as_bytes() != self.id.as_bytes());
-        if is_other || behaviour == HostedBehaviour::OtherServer {
+        let own_id = match behaviour {
+            HostedBehaviour::OtherServer => OTHER_ID,
+            _ => &self.id,
+        };
+        if expected.is_some_and(|name| name.as_bytes() != own_id.as_bytes()) {
             return Some(self.respond(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
         }
         if behaviour == HostedBehaviour::Shed {
--- a/tests/hosted_changes.rs
+++ b/tests/hosted_changes.rs
@@ -8,7 +8,7 @@
 use routes::{RepeatRule, ServerRecord};
 use testkit::{
     CutRelay, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedServer,
-    PlatformStandIn, StoreBehaviour, call, eventually, hosted_config, hosted_route,
+    PlatformStandIn, StoreBehaviour, call, eventually, hosted_config, hosted_route, read_metric,
     standard_routes,
 };
 use tokio::time::sleep;
@@ -55,21 +55,28 @@
     assert_eq!(status_of(&fleet, "/new/1").await, 404);
     fleet.platform.put_config(&with_route(7, "/new/"));
     wait_for(&fleet, "/new/1", 200).await;
+    // Each is read on its own: the store gives only the newest row of a key.
     fleet.platform.put_config(&hosted_config(5, standard_routes()));
+    wait_store_read(&fleet).await;
+    assert_eq!(status_of(&fleet, "/new/1").await, 200);
     fleet.platform.put_config(&with_route(7, "/other/"));
-    // A marker behind them shows that both were read.
+    wait_store_read(&fleet).await;
+    assert_eq!(status_of(&fleet, "/other/1").await, 404);
     fleet.platform.put_raw(TableName::Operator, "config", "{\"version\":");
-    fleet.platform.put_server(&ServerRecord {
-        id: "s-late".parse().unwrap(),
-        ..fleet.servers[0].record.clone()
-    });
-    sleep(Duration::from_secs(3)).await;
+    wait_store_read(&fleet).await;
     assert_eq!(status_of(&fleet, "/new/1").await, 200);
-    assert_eq!(status_of(&fleet, "/other/1").await, 404);
     fleet.platform.put_config(&with_route(9, "/other/"));
     wait_for(&fleet, "/other/1", 200).await;
 }
 
+/// Waits until the daemon has read both tables again: each is asked for about once a second, and a
+/// changed one answers at once.
+async fn wait_store_read(fleet: &HostedFleet) {
+    let calls = async || read_metric(fleet.daemon.metrics, "mustardrail_store_calls_total").await;
+    let before = calls().await;
+    eventually("six more calls are made", async || calls().await >= before + 6.0).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn weights_hold_over_few_requests_also_while_one_part_sheds() {
     let fleet = fleet(2).await;
