--- a/components/balance/benches/place.rs
+++ b/components/balance/benches/place.rs
@@ -4,16 +4,13 @@
 use std::time::Duration;
 
 use balance::{
-    LoadFigures, PlacedServer, PlacementGroup, PlacementOptions, RequestShape, SampleOutcome,
+    ASKED, LoadFigures, PlacedServer, PlacementGroup, PlacementOptions, RequestShape, SampleOutcome,
 };
 use criterion::{Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-/// Servers that are asked in a round.
-const ASKED: usize = 3;
-
 fn group_of(servers: u16, now: Instant) -> PlacementGroup {
     let mut group = PlacementGroup::new(PlacementOptions {
         vm: "vm-1".into(),
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -15,8 +15,9 @@
 pub use custom::{CandidateView, CustomChoice};
 pub use group::ServerGroup;
 pub use placement::{
-    AdmissionStep, LoadFigures, PlacedServer, PlacementEstimate, PlacementGroup, PlacementOptions,
-    RequestShape, RequestTimes, admit, come_back_late, come_back_soon, hedge_after, hold_step,
+    ASKED, AdmissionStep, CONNECT_TIME, HEDGE_PAUSE, LoadFigures, PlacedServer, PlacementEstimate,
+    PlacementGroup, PlacementOptions, ROUNDS, RequestShape, RequestTimes, admit, come_back_late,
+    come_back_soon, hedge_after, hold_step,
 };
 pub use server::{LoadReport, ServerAddress};
 pub use subset::{choose_preferred, choose_subset};
--- a/components/balance/src/placement/admission.rs
+++ b/components/balance/src/placement/admission.rs
@@ -21,6 +21,18 @@
 /// does a slot come free for it on the users' platform.
 const LOOK_PART: f64 = 0.1;
 
+/// Servers that are asked for their load at a time.
+pub const ASKED: usize = 3;
+
+/// Rounds of asking other servers when none of the asked ones is good.
+pub const ROUNDS: usize = 2;
+
+/// Longest time to open a connection. It takes about 2 ms with the way there and back.
+pub const CONNECT_TIME: Duration = Duration::from_millis(150);
+
+/// Time between two tries to begin a second send that the budget forbids.
+pub const HEDGE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Part of the target after which a slow first send gets a second one beside it.
 const HEDGE_PART: f64 = 0.6;
 
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -63,6 +63,8 @@
 pub struct PlacementGroup {
     options: PlacementOptions,
     servers: Vec<(u64, ServerState)>,
+    /// Indices of this entry VM's own servers in a large group, in order; empty in a small one.
+    own: Vec<usize>,
     next_serial: u64,
     means: GroupMeans,
     /// Smoothed slowness over all reports.
@@ -80,6 +82,7 @@
         Self {
             options,
             servers: Vec::new(),
+            own: Vec::new(),
             next_serial: 0,
             means: GroupMeans { others_per_slot: 0.0 },
             usual_slowness: 1.0,
@@ -139,8 +142,10 @@
             }
         }
         ranks.sort_unstable();
-        for (_, _, index) in ranks.into_iter().take(OWN_SERVERS) {
-            self.servers[index].1.is_own = true;
+        self.own = ranks.into_iter().take(OWN_SERVERS).map(|(_, _, index)| index).collect();
+        self.own.sort_unstable();
+        for index in &self.own {
+            self.servers[*index].1.is_own = true;
         }
     }
 
@@ -175,10 +180,8 @@
         let total = self.servers.len();
         let compared = total.min(MAX_COMPARED);
         let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared);
-        let own = self.servers.iter().enumerate().filter(|(_, (_, state))| state.is_own);
-        let own: Vec<usize> = own.map(|(index, _)| index).take(OWN_SERVERS).collect();
         for offset in 0..compared {
-            let index = match (total <= MAX_COMPARED, own.get(offset)) {
+            let index = match (total <= MAX_COMPARED, self.own.get(offset)) {
                 (true, _) => offset,
                 (false, Some(own)) => *own,
                 (false, None) => random.random_range(0..total),
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -11,7 +11,8 @@
 mod server;
 
 pub use admission::{
-    AdmissionStep, RequestTimes, admit, come_back_late, come_back_soon, hedge_after, hold_step,
+    ASKED, AdmissionStep, CONNECT_TIME, HEDGE_PAUSE, ROUNDS, RequestTimes, admit, come_back_late,
+    come_back_soon, hedge_after, hold_step,
 };
 pub use estimate::{PlacementEstimate, RequestShape};
 pub use group::{PlacementGroup, PlacementOptions};
--- a/components/lab/src/policy.rs
+++ b/components/lab/src/policy.rs
@@ -4,6 +4,8 @@
 
 use derive_more::{Display, Error};
 
+use balance::{ASKED, ROUNDS};
+
 /// How a server is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ChoiceKind {
@@ -31,12 +33,6 @@
     pub(crate) minds_crowds: bool,
 }
 
-/// Servers asked in a round, as the request path does.
-const ASKED: usize = 3;
-
-/// Rounds of asking, as the request path does.
-const ROUNDS: usize = 2;
-
 /// All policies. "chosen" is what the daemon does. Earlier versions of it are "queued", the first that
 /// kept the rules, which let requests wait at the servers; and "crowding", which held requests the
 /// same however full the servers were.
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use balance::{
-    AdmissionStep, RequestTimes, SampleOutcome, ServerTicket, admit, come_back_late,
-    come_back_soon, hedge_after, hold_step,
+    AdmissionStep, CONNECT_TIME, HEDGE_PAUSE, RequestTimes, SampleOutcome, ServerTicket, admit,
+    come_back_late, come_back_soon, hedge_after, hold_step,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -20,12 +20,6 @@
 use crate::server::{ArrivalEnd, ModelServer, SendIndex};
 use crate::vm::{ModelPlace, ModelVm};
 
-/// Time between two tries to begin a second send, as on the request path.
-const HEDGE_PAUSE: Duration = Duration::from_millis(100);
-
-/// Time after which a server that doesn't answer counts as unreachable, as on the request path.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
-
 /// Servers to which one attempt may be sent.
 const MAX_SENDS: usize = 2;
 
@@ -309,15 +303,13 @@
         if send.is_ended {
             return;
         }
-        let server = send.place.server;
-        if self.servers[server].is_dead(self.scenario, self.now) {
-            // The run is lost with its server; only the caller's deadline ends the wait.
-            self.leave_server(index);
-            return;
-        }
+        let is_lost = self.servers[send.place.server].is_dead(self.scenario, self.now);
         self.leave_server(index);
-        let told_at = self.now + self.way();
-        self.schedule(told_at, Event::Answer(index));
+        // A run that is lost with its server has no answer; only the caller's deadline ends the wait.
+        if !is_lost {
+            let told_at = self.now + self.way();
+            self.schedule(told_at, Event::Answer(index));
+        }
     }
 
     fn leave_server(&mut self, index: SendIndex) {
@@ -404,14 +396,13 @@
             true => come_back_soon(self.shape(), left, &mut self.random),
             false => come_back_late(left, &mut self.random),
         };
-        let (index, caller) = (index, visit.caller);
+        let caller = visit.caller;
         self.end_visit(index, None);
-        let caller_state = &mut self.callers[caller];
-        if caller_state.returns_left == 0 {
-            caller_state.end = Some(CallerEnd::Refused);
+        if self.callers[caller].returns_left == 0 {
+            self.callers[caller].end = Some(CallerEnd::Refused);
             return;
         }
-        caller_state.returns_left -= 1;
+        self.callers[caller].returns_left -= 1;
         self.schedule(self.now + pause, Event::Come(caller));
     }
 
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response};
 use tokio::time::{Instant, timeout};
 
-use balance::{LoadFigures, SampleOutcome};
+use balance::{CONNECT_TIME, LoadFigures, SampleOutcome};
 use model::ServerId;
 use routes::WireInterface;
 
@@ -29,9 +29,6 @@
 /// replaced. The users' largest answers have 30 KB.
 const MAX_READ_AHEAD: usize = 64 << 10;
 
-/// Longest time to open a connection. It takes about 2 ms with the way there and back.
-const CONNECT_TIME: Duration = Duration::from_millis(150);
-
 /// How one send ended.
 pub(crate) enum AttemptEnd {
     /// The server's answer, whole or streaming.
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -15,8 +15,8 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use balance::{
-    AdmissionStep, RequestShape, RequestTimes, ServerTicket, admit, come_back_late, come_back_soon,
-    hedge_after, hold_step,
+    AdmissionStep, HEDGE_PAUSE, RequestShape, RequestTimes, ServerTicket, admit, come_back_late,
+    come_back_soon, hedge_after, hold_step,
 };
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
@@ -36,9 +36,6 @@
 /// the end of the time that they were given.
 const ANSWER_MARGIN: Duration = Duration::from_millis(80);
 
-/// Time between two tries to begin a second send.
-const HEDGE_PAUSE: Duration = Duration::from_millis(100);
-
 /// A request on its way.
 pub(crate) struct HostedDispatch<'a> {
     pub(crate) wire: &'a Arc<WireInterface>,
@@ -221,7 +218,7 @@
 
     /// Chooses a server. While none can end the request by its target, it waits here.
     async fn place(&mut self) -> Result<ChosenPlace, HostedRefusal> {
-        let service = Arc::clone(self.service);
+        let service = self.service;
         let mut held = None;
         loop {
             let Some(place) = self.choose().await else {
--- a/components/proxy/src/hosted/placing.rs
+++ b/components/proxy/src/hosted/placing.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use balance::{PlacementEstimate, RequestShape, SampleOutcome, ServerTicket};
+use balance::{ASKED, PlacementEstimate, ROUNDS, RequestShape, SampleOutcome, ServerTicket};
 use observe::HostedMetrics;
 use routes::WireInterface;
 
@@ -17,12 +17,6 @@
 use crate::hosted::service::{CONNECTIONS_TO_SERVER, HostedService, PlaceLease};
 use crate::pool::{BackendConnection, ConnectionTrust};
 
-/// Candidates that are asked at a time.
-const ASKED: usize = 3;
-
-/// Rounds of asking other candidates when none of the asked ones is good.
-const ROUNDS: usize = 2;
-
 /// Age up to which a report needs no asking again.
 const FRESH: Duration = Duration::from_millis(15);
 
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -122,8 +122,14 @@
         let id = format!("s-{}", self.started);
         self.started += 1;
         let server = HostedServer::start(&id, "orders", CALM_BEHAVIOUR).await;
+        let record = server.record.clone();
+        self.enlist(server, record).await;
+    }
+
+    /// Lists a server under a record, at the address of a relay in front of it.
+    async fn enlist(&mut self, server: HostedServer, record: ServerRecord) {
         let relay = CutRelay::start(server.record.address).await;
-        let record = ServerRecord { address: relay.address, ..server.record.clone() };
+        let record = ServerRecord { address: relay.address, ..record };
         self.platform.put_server(&record);
         self.servers.push(SoakServer { server, relay, record, left_at: None });
     }
@@ -243,11 +249,8 @@
         }
         let old = self.servers[number].record.clone();
         let server = HostedServer::start(old.id.as_str(), "orders", CALM_BEHAVIOUR).await;
-        let relay = CutRelay::start(server.record.address).await;
-        let address = relay.address;
-        let record = ServerRecord { address, born_ms: old.born_ms + 1, sequence: 1, ..old };
-        self.platform.put_server(&record);
-        self.servers.push(SoakServer { server, relay, record, left_at: None });
+        let record = ServerRecord { born_ms: old.born_ms + 1, sequence: 1, ..old };
+        self.enlist(server, record).await;
         self.servers[number].left_at = Some(Instant::now());
     }
 
