Keep the budget of extra attempts in every window

Cause: AttemptBudget kept the requests of a window and one step more, and compared them with extra attempts counted at their decision. Change: an extra attempt is taken when it is sent, after the selection of its server, and only if every window that may contain its arrival stays within the bound, also if no further request comes. Relays keep members that left as long as their attempts count. Ruled out: a token bucket per entry VM, which allows none to a VM whose share of the slack is below 1; the best of the counted windows for each VM, whose sum over the VMs is more than the best for the fleet.

--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -15,7 +15,7 @@
 use observe::{BatchedLogger, FLUSH_INTERVAL, HostedMetrics, Logger, info, slog_level, warn};
 use peers::{RelayHub, serve_relay};
 use platform::PlatformStore;
-use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices};
+use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY};
 use settings::{HostedSettings, SettingsError, load_hosted_settings};
 
 use crate::hosted::platform_view::PlatformView;
@@ -68,10 +68,6 @@
 /// 9,000 per GB, 5 KB cost a 20th of a request's value, as do 10 ms of a 200 ms latency target.
 const CROSS_ZONE_COST_PER_KIB: Duration = Duration::from_micros(2_000);
 
-/// Time for which a relay still counts a departed member, as a multiple of the window of the retry
-/// budget: the window plus the step by which it slides.
-const MEMBER_WINDOW_FACTOR: f64 = 1.1;
-
 /// Time between two updates of a relay's own share of the slack.
 const SLACK_SHARE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -187,8 +183,7 @@
         return Ok(None);
     }
     let listener = listen(settings.relay, "relay").await?;
-    let window = Duration::from_secs_f64(settings.retries.window_s).mul_f64(MEMBER_WINDOW_FACTOR);
-    let hub = Arc::new(RelayHub::new(window));
+    let hub = Arc::new(RelayHub::new(attempt_limits(settings).retention()));
     background.spawn(serve_relay(listener, Arc::clone(&hub), log.clone()));
     Ok(Some(hub))
 }
@@ -240,14 +235,18 @@
         zone_cost: CROSS_ZONE_COST,
         zone_cost_per_kib: CROSS_ZONE_COST_PER_KIB,
     };
+    HostedServices::new(placement, attempt_limits(settings))
+}
+
+fn attempt_limits(settings: &HostedSettings) -> AttemptLimits {
     let retries = settings.retries;
-    let limits = AttemptLimits {
+    AttemptLimits {
         ratio: retries.ratio,
         // Set at run time, because only a relay knows how many VMs share the slack.
         slack: 0.0,
         window: Duration::from_secs_f64(retries.window_s),
-    };
-    HostedServices::new(placement, limits)
+        arrival_delay: MAX_SEND_DELAY,
+    }
 }
 
 async fn flush_logs(logs: BatchedLogger) {
--- a/components/lab/src/simulation.rs
+++ b/components/lab/src/simulation.rs
@@ -283,6 +283,10 @@
     }
 
     fn start_attempt(&mut self, index: RequestIndex, placement: ModelPlacement) {
+        if !self.requests[index].attempts.is_empty() && !self.take_extra(index) {
+            self.refuse_request(index);
+            return;
+        }
         let request = &mut self.requests[index];
         request.is_awaiting_server = false;
         request.tried_servers.extend(placement.ticket);
@@ -375,7 +379,7 @@
         if self.requests[request].is_ended || self.has_open_attempt(request) {
             return;
         }
-        match self.try_reserve_attempt(request) {
+        match self.may_send_again(request) {
             true => self.start_selection(request),
             false => self.refuse_request(request),
         }
@@ -389,7 +393,7 @@
         if self.requests[request].attempts.len() >= MAX_ATTEMPTS {
             return;
         }
-        match self.try_reserve_attempt(request) {
+        match self.may_send_again(request) {
             true => self.start_selection(request),
             false => {
                 self.schedule(self.now + HEDGE_RETRY_INTERVAL, SimulationEvent::HedgeDue(request));
@@ -397,14 +401,20 @@
         }
     }
 
-    /// Takes an extra attempt from the budget. Returns `false` if the budget is used up, the
-    /// maximum number of attempts is reached or the request would miss its deadline.
-    fn try_reserve_attempt(&mut self, index: RequestIndex) -> bool {
+    /// Whether a further attempt is possible: returns `false` if the budget is used up, the maximum
+    /// number of attempts is reached or the request would miss its deadline.
+    fn may_send_again(&mut self, index: RequestIndex) -> bool {
         let request = &self.requests[index];
         let is_possible = request.attempts.len() < MAX_ATTEMPTS
             && self.now + self.service_time <= request.deadline;
         let now = self.instant();
-        is_possible && self.vms[self.requests[index].vm].budget.try_take_extra(now)
+        is_possible && self.vms[self.requests[index].vm].budget.has_extra(now)
+    }
+
+    /// Takes an extra attempt from the budget of the request's entry VM.
+    fn take_extra(&mut self, index: RequestIndex) -> bool {
+        let now = self.instant();
+        self.vms[self.requests[index].vm].budget.try_take_extra(now)
     }
 
     fn has_open_attempt(&self, request: RequestIndex) -> bool {
--- a/components/lab/src/vm.rs
+++ b/components/lab/src/vm.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use balance::{
-    PlacementEstimate, PlacementGroup, PlacementOptions, PlacementServer, SampleOutcome,
-    ServerTicket,
+    CONNECT_TIMEOUT, PlacementEstimate, PlacementGroup, PlacementOptions, PlacementServer,
+    SampleOutcome, ServerTicket,
 };
 use limits::{AttemptBudget, AttemptLimits};
 use rand::RngExt;
@@ -54,6 +54,7 @@
             ratio: scenario.budget.ratio,
             slack: scenario.budget.slack,
             window: Duration::from_secs_f64(scenario.budget.window_s),
+            arrival_delay: CONNECT_TIMEOUT,
         };
         Self {
             group,
--- a/components/limits/tests/slack.rs
+++ b/components/limits/tests/slack.rs
@@ -8,6 +8,14 @@
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Limits without slack, which each test sets.
+const LIMITS: AttemptLimits = AttemptLimits {
+    ratio: 0.0,
+    slack: 0.0,
+    window: WINDOW,
+    arrival_delay: Duration::from_millis(300),
+};
+
 /// Minimum member count of a relay in its first window.
 const ASSUMED_MEMBERS: u32 = 50;
 
@@ -46,7 +54,7 @@
 fn slack_share_allows_an_extra_attempt_of_a_quiet_service() {
     let now = Instant::now();
     let share = slack_share(58.0, 3, 5);
-    let mut budget = AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 0.0, window: WINDOW });
+    let mut budget = AttemptBudget::new(AttemptLimits { ratio: 0.2, ..LIMITS });
     budget.record_request(now);
     assert!(!budget.try_take_extra(now));
     budget.set_slack(share);
@@ -59,11 +67,10 @@
 fn remaining_members_do_not_reuse_the_slack_of_failed_members() {
     const SLACK: f64 = 190.0;
     let start = Instant::now();
-    let limits = AttemptLimits { ratio: 0.0, slack: 0.0, window: WINDOW };
     let mut taken = 0;
     for _ in 0..3 {
         let mut count = MemberCount::new(WINDOW + WINDOW / 10, start);
-        let mut members: Vec<_> = (0..14).map(|_| AttemptBudget::new(limits)).collect();
+        let mut members: Vec<_> = (0..14).map(|_| AttemptBudget::new(LIMITS)).collect();
         let after_first_window = start + WINDOW * 2;
         for remaining in [14, 1] {
             let now = after_first_window + Duration::from_secs(u64::from(remaining == 1));
@@ -94,11 +101,10 @@
     ) {
         const SLACK: f64 = 190.0;
         let start = Instant::now();
-        let limits = AttemptLimits { ratio: 0.0, slack: 0.0, window: WINDOW };
         let mut counts: Vec<MemberCount> =
             (0..3).map(|_| MemberCount::new(WINDOW + WINDOW / 10, start)).collect();
         let mut members: Vec<ModelMember> = (0..40)
-            .map(|number| ModelMember { relay: number % 3, budget: AttemptBudget::new(limits) })
+            .map(|number| ModelMember { relay: number % 3, budget: AttemptBudget::new(LIMITS) })
             .collect();
         let mut now = start;
         let mut taken: Vec<Instant> = Vec::new();
@@ -106,7 +112,7 @@
             now += Duration::from_millis(pause);
             match kind {
                 0 => members[member].relay = relay,
-                1 => members[member].budget = AttemptBudget::new(limits),
+                1 => members[member].budget = AttemptBudget::new(LIMITS),
                 2 => counts[relay] = MemberCount::new(WINDOW + WINDOW / 10, now),
                 _ => {}
             }
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -30,6 +30,10 @@
 /// largest responses on the hosting platform have 30 KB.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
 
+/// Longest time from the start of an attempt until its request is sent: if a pooled connection turns
+/// out to be closed, a new one is opened.
+pub const MAX_SEND_DELAY: Duration = CONNECT_TIMEOUT.saturating_mul(2);
+
 /// Outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// The server responded; the body is buffered or still being streamed.
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -123,7 +123,7 @@
                 None => tokio::select! {
                     outcome = attempts.next() => outcome,
                     () = sleep_until(hedge_at), if may_hedge && attempts.len() == 1 => {
-                        if !self.reserve_attempt() {
+                        if !self.may_send_again() {
                             // The budget may allow a hedged attempt later.
                             hedge_at = Instant::now() + HEDGE_RETRY_INTERVAL;
                             continue;
@@ -137,7 +137,7 @@
                             }
                             server = self.acquire_another_server() => server,
                         };
-                        if let Some(server) = server {
+                        if let Some(server) = server.filter(|_| self.take_extra()) {
                             let reuse_policy = ReusePolicy::Never;
                             attempts.push(self.start_attempt(server, reuse_policy, sent_flags));
                         }
@@ -151,14 +151,14 @@
             match self.record_outcome(outcome, &mut error_response) {
                 Some(response) => return Ok(response),
                 None if !attempts.is_empty() => continue,
-                None if self.reserve_retry() => {}
+                None if self.may_retry() => {}
                 None => return error_response.ok_or_else(|| self.refusal_without_response()),
             }
             let server = match error_response.is_some() {
                 true => self.acquire_another_server().await,
                 false => Some(self.acquire_server().await?),
             };
-            match server {
+            match server.filter(|_| self.take_extra()) {
                 Some(server) => {
                     let reuse_policy = self.retry_reuse_policy();
                     attempts.push(self.start_attempt(server, reuse_policy, sent_flags));
@@ -199,11 +199,11 @@
         }
     }
 
-    /// Reserves a further attempt if the request may be sent again after a failure.
-    fn reserve_retry(&mut self) -> bool {
+    /// Whether the request may be sent again after a failure.
+    fn may_retry(&self) -> bool {
         let is_safe =
             self.route.execution == ExecutionSemantics::Idempotent || !self.progress.may_have_run;
-        is_safe && self.reserve_attempt()
+        is_safe && self.may_send_again()
     }
 
     /// Returns which pooled connections a retry may use. After a broken connection it opens a new
@@ -215,9 +215,8 @@
         }
     }
 
-    /// Reserves a further attempt in the service's budget. Returns `false` if the body, the route,
-    /// the deadline or the budget doesn't allow one.
-    fn reserve_attempt(&mut self) -> bool {
+    /// Whether the body, the route, the deadline and the service's budget allow a further attempt.
+    fn may_send_again(&self) -> bool {
         let now = Instant::now();
         if !self.body.can_send()
             || self.progress.attempts >= self.route.max_attempts
@@ -225,8 +224,18 @@
         {
             return false;
         }
-        // If no attempt has reached a server, the next one is not an extra attempt.
-        self.progress.attempts == 0 || self.service.budget().try_take_extra(now)
+        self.is_first_attempt() || self.service.budget().has_extra(now)
+    }
+
+    /// Takes a further attempt from the service's budget, when it is sent: the selection of its
+    /// server may have taken long.
+    fn take_extra(&self) -> bool {
+        self.is_first_attempt() || self.service.budget().try_take_extra(Instant::now())
+    }
+
+    /// Whether no attempt has reached a server, so that the next one isn't an extra attempt.
+    fn is_first_attempt(&self) -> bool {
+        self.progress.attempts == 0
     }
 
     /// Selects a server. The request is queued here while no server is expected to complete it by
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -15,6 +15,7 @@
 mod selection;
 mod service;
 
+pub use attempt::MAX_SEND_DELAY;
 pub use handler::{HostedHandler, HostedOptions};
 pub use listener::HostedListener;
 pub use service::HostedServices;
