Decide placement by learned speeds, loads, sizes and distances

Cause: figures of the first deployment decided on every deployment. A response counted as 5,000 bytes, a reported slowness decayed in 100 ms to the mean, the last slot cost 1.4 everywhere, zones were 1 ms apart, probes were waited for 25 ms. Run times show that a run takes all of its time at the speed at its start (median 1.00 of the expected time on fast machines, 4.2 on slow ones), so slow machines looked almost as good as fast ones; 90,000-byte responses crossed zones as if they were small. Change: `balance` learns how long a reported slowness stays true from successive reports, how long the speed at the start of a run stays true from run times, the slowdown by free slots from run times, and the delay of other zones from probe times; `route_stats` learns response sizes. A byte between zones costs a share of the request's value, by a setting with a documented default. Probes stay in the own zone first. A request waits for a fast machine while its target is in reach instead of taking a free slot of a slow one. Up to three probe rounds. Without reports, the age of own requests and run times stand for the speed. Responses up to 1 MiB can be replaced when they break off. A 404 logs the version of the configuration that has no route. Tests: one for each learned value (convergence after a change, hostile values), waiting for fast servers, the last free slot, truncated downloads (fails with the former limit of 64 KiB), the version in the log. The test of a late request at a free slot asserted the former rule; the one of bodies and zones took one used slot for a load, now a full server.

--- a/components/balance/src/placement/admission.rs
+++ b/components/balance/src/placement/admission.rs
@@ -25,7 +25,7 @@
 pub const PROBES_PER_ROUND: usize = 3;
 
 /// Maximum number of probe rounds, each with other servers, until one is acceptable.
-pub const MAX_PROBE_ROUNDS: usize = 2;
+pub const MAX_PROBE_ROUNDS: usize = 3;
 
 /// Timeout for opening a connection, which takes about 2 ms including the round trip.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -73,11 +73,13 @@
 
 /// Decides on a request from the estimate for its best server.
 ///
-/// If the group isn't saturated, the request is sent to a free slot even if it will miss its
-/// target, since the capacity would otherwise be unused. If it is saturated, the request is sent
-/// only to a free slot and only if it can meet its target: several entry VMs see the same free
-/// slot, so their requests would wait at the server, and a late request takes the slot of one that
-/// could be on time.
+/// A request that would miss its target at the best server is queued while another server could
+/// still meet it: the best ones of this moment may be slow, and faster ones become free. Once the
+/// target is out of reach, it is sent to a free slot if the group isn't saturated, since the
+/// capacity would otherwise be unused. If the group is saturated, a request is sent only to a free
+/// slot and only if it can meet its target: several entry VMs see the same free slot, so their
+/// requests would wait at the server, and a late request takes the slot of one that could be on
+/// time.
 pub fn admit(
     estimate: &PlacementEstimate,
     shape: RequestShape,
@@ -90,14 +92,15 @@
     }
     let is_in_time = now + estimate.expected_time() <= times.target_at;
     let is_free = estimate.wait_seconds <= 0.0;
+    let is_out_of_reach = now + shape.service_time > times.target_at;
     let may_send = match is_saturated {
         true => is_in_time && is_free,
-        false => is_in_time || is_free,
+        false => is_in_time || (is_free && is_out_of_reach),
     };
     if may_send {
         return AdmissionDecision::Send;
     }
-    match now + shape.service_time > times.target_at {
+    match is_out_of_reach {
         true => AdmissionDecision::Refuse,
         false => AdmissionDecision::Queue,
     }
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -10,8 +10,10 @@
 
 use model::{FastMap, ServerId, ZoneName};
 
-use crate::placement::estimate::{GroupMeans, PlacementEstimate, RequestShape, estimate_placement};
+use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
+use crate::placement::persistence::decay_factor;
 use crate::placement::server::{PlacementServer, ServerLoad, ServerState};
+use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
 
 /// Servers compared per choice; larger groups are sampled.
@@ -32,6 +34,11 @@
 /// times of the request.
 const NON_PREFERRED_COST_RATIO: f64 = 0.4;
 
+/// Extra cost of a server in another zone in the choice of candidates, in typical service times of
+/// the request: probes and small requests cross zones only if the servers of the own zone are busy
+/// or slow.
+const OTHER_ZONE_COST_RATIO: f64 = 1.0;
+
 /// Number of health checks without a load report after which a service counts as not reporting its
 /// load.
 const MAX_CHECKS_WITHOUT_REPORT: u32 = 6;
@@ -54,10 +61,24 @@
     pub vm: Box<str>,
     /// This entry VM's availability zone.
     pub zone: ZoneName,
-    /// Cost of a round trip to another availability zone.
-    pub zone_cost: Duration,
-    /// Additional cost of each KiB that crosses zones, expressed as an equivalent delay.
-    pub zone_cost_per_kib: Duration,
+    /// Cost of each KiB that crosses zones, as a fraction of the value of a request.
+    pub zone_cost_per_kib: f64,
+}
+
+/// A request that was sent to a server and counts as in flight there.
+#[derive(Debug, Clone, Copy)]
+pub struct StartedRequest {
+    ticket: ServerTicket,
+    started_at: Instant,
+    /// `None` if the server had left the list.
+    forecast: Option<RunForecast>,
+}
+
+impl StartedRequest {
+    /// The server.
+    pub fn ticket(&self) -> ServerTicket {
+        self.ticket
+    }
 }
 
 /// The servers of one service, with their load reports.
@@ -68,7 +89,8 @@
     /// Sorted indexes of this entry VM's preferred servers; empty in a small group, where all are.
     preferred: Vec<usize>,
     next_serial: u64,
-    means: GroupMeans,
+    model: GroupModel,
+    zone_latencies: ZoneLatencies,
     /// Moving average of the slowness over all reports.
     typical_slowness: f64,
     /// Moving average of the running and waiting requests per slot over all reports.
@@ -86,7 +108,8 @@
             servers: Vec::new(),
             preferred: Vec::new(),
             next_serial: 0,
-            means: GroupMeans { remote_per_slot: 0.0 },
+            model: GroupModel::default(),
+            zone_latencies: ZoneLatencies::default(),
             typical_slowness: 1.0,
             occupancy: 0.0,
             has_reports: false,
@@ -111,7 +134,7 @@
     }
 
     /// Applies a server list. A server keeps its state as long as its incarnation is the same.
-    pub fn set_servers(&mut self, listed: &[PlacementServer], now: Instant) {
+    pub fn set_servers(&mut self, listed: &[PlacementServer]) {
         let mut previous_states: FastMap<ServerId, (u64, ServerState)> = self
             .servers
             .drain(..)
@@ -120,10 +143,10 @@
         for server in listed {
             let previous_state =
                 previous_states.remove(&server.id).and_then(|(serial, mut state)| {
-                    state.update_listing(server, now).then_some((serial, state))
+                    state.update_listing(server).then_some((serial, state))
                 });
             let (serial, state) = previous_state.unwrap_or_else(|| {
-                let state = ServerState::new(server.clone(), self.typical_slowness, now);
+                let state = ServerState::new(server.clone(), self.typical_slowness);
                 (self.next_serial, state)
             });
             self.next_serial = self.next_serial.max(serial + 1);
@@ -202,16 +225,21 @@
             if is_skipped || costs.iter().any(|(_, other)| *other == ticket) {
                 continue;
             }
-            let non_preferred_ratio =
-                if state.is_preferred { 0.0 } else { NON_PREFERRED_COST_RATIO };
             let cost = self.estimate_state(state, shape, now).cost_seconds
-                + non_preferred_ratio * shape.service_time.as_secs_f64();
+                + self.candidate_cost_ratio(state) * shape.service_time.as_secs_f64();
             costs.push((cost * (1.0 + CANDIDATE_COST_NOISE * random.random::<f64>()), ticket));
         }
         costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
         costs.into_iter().take(count).map(|(_, ticket)| ticket).collect()
     }
 
+    /// Extra cost of a server in the choice of candidates, in typical service times.
+    fn candidate_cost_ratio(&self, state: &ServerState) -> f64 {
+        let preferred_ratio = if state.is_preferred { 0.0 } else { NON_PREFERRED_COST_RATIO };
+        let zone_ratio = if self.is_own_zone(state) { 0.0 } else { OTHER_ZONE_COST_RATIO };
+        preferred_ratio + zone_ratio
+    }
+
     /// Returns the server with the lowest estimated cost among `tickets`, with its estimate.
     pub fn best_server(
         &self,
@@ -234,36 +262,59 @@
         shape: RequestShape,
         now: Instant,
     ) -> PlacementEstimate {
-        estimate_placement(state, self.means, shape, self.zone_cost_seconds(state, shape), now)
+        self.model.estimate(state, shape, self.zone_cost_seconds(state, shape), now)
+    }
+
+    fn is_own_zone(&self, state: &ServerState) -> bool {
+        state.listed.zone == self.options.zone
     }
 
     fn zone_cost_seconds(&self, state: &ServerState, shape: RequestShape) -> f64 {
-        if state.listed.zone == self.options.zone {
+        if self.is_own_zone(state) {
             return 0.0;
         }
+        let delay = self.zone_latencies.additional_delay(&self.options.zone, &state.listed.zone);
         let kib = shape.transfer_bytes as f64 / 1024.0;
-        self.options.zone_cost.as_secs_f64() + self.options.zone_cost_per_kib.as_secs_f64() * kib
+        delay.as_secs_f64() + self.options.zone_cost_per_kib * kib * shape.target.as_secs_f64()
     }
 
-    /// Counts a request that is sent to a server.
-    pub fn start_request(&mut self, ticket: ServerTicket) {
+    /// Counts a request that is sent to a server. It must be passed to `finish_request`.
+    pub fn start_request(
+        &mut self,
+        ticket: ServerTicket,
+        shape: RequestShape,
+        now: Instant,
+    ) -> StartedRequest {
+        let forecast = self.state(ticket).map(|state| self.model.forecast(state, shape, now));
         if let Some(state) = self.state_mut(ticket) {
-            state.local_in_flight += 1;
+            state.start_request(now);
         }
+        StartedRequest { ticket, started_at: now, forecast }
     }
 
-    /// Records the end of a request that `start_request` counted.
+    /// Records the end of a request, and learns from the time that it took if it was completed.
     pub fn finish_request(
         &mut self,
-        ticket: ServerTicket,
+        request: StartedRequest,
         outcome: SampleOutcome,
         report: Option<ServerLoad>,
         now: Instant,
     ) {
+        let ticket = request.ticket;
         if let Some(state) = self.state_mut(ticket) {
-            state.local_in_flight = state.local_in_flight.saturating_sub(1);
+            state.end_request(request.started_at);
         }
         self.record_outcome(ticket, outcome, now);
+        let forecast = request.forecast.filter(|_| outcome == SampleOutcome::Responded);
+        if let Some(forecast) = forecast {
+            let elapsed = now.saturating_duration_since(request.started_at);
+            self.model.observe_run(&forecast, elapsed);
+            if !self.has_reports
+                && let Some(state) = self.state_mut(ticket)
+            {
+                state.record_slowness(forecast.observed_slowness(elapsed));
+            }
+        }
         if let Some(load) = report {
             self.apply_report(ticket, load, now);
         }
@@ -271,6 +322,7 @@
 
     /// Applies a load report of a server.
     pub fn apply_report(&mut self, ticket: ServerTicket, load: ServerLoad, now: Instant) {
+        self.observe_report(ticket, load, now);
         let Some(state) = self.state_mut(ticket) else {
             return;
         };
@@ -279,12 +331,38 @@
         let per_slot = remote_in_flight / f64::from(state.listed.slots);
         let in_use = f64::from(load.running + load.waiting) / f64::from(state.listed.slots);
         self.occupancy += (in_use - self.occupancy) * NEWEST_REPORT_WEIGHT;
-        self.means.remote_per_slot +=
-            (per_slot - self.means.remote_per_slot) * NEWEST_REPORT_WEIGHT;
+        self.model.remote_per_slot +=
+            (per_slot - self.model.remote_per_slot) * NEWEST_REPORT_WEIGHT;
         self.typical_slowness += (load.slowness - self.typical_slowness) * NEWEST_REPORT_WEIGHT;
         self.has_reports = true;
     }
 
+    /// Learns from a report how long the previous one of the same server stayed true.
+    fn observe_report(&mut self, ticket: ServerTicket, load: ServerLoad, now: Instant) {
+        let previous = self.state(ticket).and_then(|state| Some((state.report?, state)));
+        let Some((report, state)) = previous else {
+            return;
+        };
+        let (age, typical) = (state.report_age(now), state.typical_slowness);
+        let age = age.unwrap_or_default().as_secs_f64();
+        self.model.report_persistence.observe(load.slowness, |time_constant| {
+            typical + (report.slowness - typical) * decay_factor(age, time_constant)
+        });
+    }
+
+    /// Records the time that a server took to answer a probe.
+    pub fn record_probe_time(&mut self, ticket: ServerTicket, elapsed: Duration) {
+        let zone = self.state(ticket).map(|state| state.listed.zone.clone());
+        if let Some(zone) = zone {
+            self.zone_latencies.observe(&zone, elapsed);
+        }
+    }
+
+    /// Returns how long a selection waits for the answers of probes.
+    pub fn probe_wait(&self) -> Duration {
+        self.zone_latencies.probe_wait()
+    }
+
     /// Records the outcome of a request or probe for the server's health.
     pub fn record_outcome(&mut self, ticket: ServerTicket, outcome: SampleOutcome, now: Instant) {
         let is_failure = matches!(outcome, SampleOutcome::Failed | SampleOutcome::Unreachable);
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -41,8 +41,6 @@
     pub slots: u32,
     /// Whether it is leaving and accepts no new requests.
     pub is_leaving: bool,
-    /// Remaining time of its slow start.
-    pub slow_start_remaining: Duration,
 }
 
 impl PlacementServer {
@@ -67,37 +65,33 @@
 #[derive(Debug)]
 pub(crate) struct ServerState {
     pub(crate) listed: PlacementServer,
-    /// Unfinished requests of this entry VM.
-    pub(crate) local_in_flight: u32,
+    /// Starts of the unfinished requests of this entry VM. Invariant: ascending.
+    started_at: Vec<Instant>,
     pub(crate) report: Option<LastReport>,
     /// Moving average of the slowness over the reports of this incarnation.
     pub(crate) typical_slowness: f64,
     pub(crate) failures: FailureHistory,
-    pub(crate) slow_start_until: Instant,
     /// Whether it is a preferred server of this entry VM; always true in a small group.
     pub(crate) is_preferred: bool,
 }
 
 impl ServerState {
-    pub(crate) fn new(listed: PlacementServer, typical_slowness: f64, now: Instant) -> Self {
-        let slow_start_until = now + listed.slow_start_remaining;
+    pub(crate) fn new(listed: PlacementServer, typical_slowness: f64) -> Self {
         Self {
             listed,
-            local_in_flight: 0,
+            started_at: Vec::new(),
             report: None,
             typical_slowness,
             failures: FailureHistory::new(),
-            slow_start_until,
             is_preferred: true,
         }
     }
 
     /// Applies a newer list entry if it is of the same incarnation; returns whether it is.
-    pub(crate) fn update_listing(&mut self, listed: &PlacementServer, now: Instant) -> bool {
+    pub(crate) fn update_listing(&mut self, listed: &PlacementServer) -> bool {
         if !self.listed.is_same_incarnation(listed) {
             return false;
         }
-        self.slow_start_until = self.slow_start_until.min(now + listed.slow_start_remaining);
         self.listed = listed.clone();
         true
     }
@@ -105,13 +99,39 @@
     /// Applies a load report, which includes the requests of this entry VM.
     pub(crate) fn apply_report(&mut self, load: ServerLoad, now: Instant) {
         let total = f64::from(load.running) + f64::from(load.waiting);
-        let remote_in_flight = (total - f64::from(self.local_in_flight)).max(0.0);
-        self.typical_slowness += (load.slowness - self.typical_slowness) * NEWEST_REPORT_WEIGHT;
+        let remote_in_flight = (total - f64::from(self.local_in_flight())).max(0.0);
+        self.record_slowness(load.slowness);
         self.listed.slots = load.slots.max(1);
         self.report =
             Some(LastReport { remote_in_flight, slowness: load.slowness, received_at: now });
     }
 
+    /// Updates the moving average of the slowness.
+    pub(crate) fn record_slowness(&mut self, slowness: f64) {
+        self.typical_slowness += (slowness - self.typical_slowness) * NEWEST_REPORT_WEIGHT;
+    }
+
+    pub(crate) fn start_request(&mut self, now: Instant) {
+        self.started_at.push(now);
+    }
+
+    /// Removes an unfinished request by its start.
+    pub(crate) fn end_request(&mut self, started_at: Instant) {
+        if let Some(index) = self.started_at.iter().position(|start| *start == started_at) {
+            self.started_at.remove(index);
+        }
+    }
+
+    /// Returns the number of unfinished requests of this entry VM.
+    pub(crate) fn local_in_flight(&self) -> u32 {
+        self.started_at.len() as u32
+    }
+
+    /// Returns the age of the oldest unfinished request.
+    pub(crate) fn oldest_request_age(&self, now: Instant) -> Option<Duration> {
+        self.started_at.first().map(|start| now.saturating_duration_since(*start))
+    }
+
     /// Returns the age of the last report; `None` before the first.
     pub(crate) fn report_age(&self, now: Instant) -> Option<Duration> {
         self.report.map(|report| now.saturating_duration_since(report.received_at))
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -61,12 +61,8 @@
 /// Time between two sweeps that close connections which were idle for too long.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Placement cost of a round trip to another availability zone: 0.5 ms in each direction.
-const CROSS_ZONE_COST: Duration = Duration::from_millis(1);
-
-/// Placement cost of transferring one KiB between zones, as the delay of equal cost. At a price of
-/// 9,000 per GB, 5 KB cost a 20th of a request's value, as do 10 ms of a 200 ms latency target.
-const CROSS_ZONE_COST_PER_KIB: Duration = Duration::from_micros(2_000);
+/// Bytes in a GB, the unit of the price of transfers between zones.
+const BYTES_PER_GB: f64 = 1e9;
 
 /// Time between two updates of a relay's own share of the slack.
 const SLACK_SHARE_INTERVAL: Duration = Duration::from_secs(1);
@@ -232,8 +228,7 @@
     let placement = PlacementOptions {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        zone_cost: CROSS_ZONE_COST,
-        zone_cost_per_kib: CROSS_ZONE_COST_PER_KIB,
+        zone_cost_per_kib: settings.cross_zone_requests_per_gb * 1024.0 / BYTES_PER_GB,
     };
     HostedServices::new(placement, attempt_limits(settings))
 }
--- a/components/lab/src/selection.rs
+++ b/components/lab/src/selection.rs
@@ -4,6 +4,7 @@
 use rand::RngExt;
 
 use crate::policy::ServerSelection;
+use crate::scenario::duration_from_ms;
 use crate::simulation::{LabSimulation, RequestIndex, SimulationEvent};
 use crate::vm::ModelPlacement;
 
@@ -155,6 +156,10 @@
     }
 
     pub(crate) fn request_shape(&self) -> RequestShape {
-        RequestShape { service_time: self.service_time, transfer_bytes: TRANSFER_BYTES }
+        RequestShape {
+            service_time: self.service_time,
+            transfer_bytes: TRANSFER_BYTES,
+            target: duration_from_ms(self.scenario.target_ms),
+        }
     }
 }
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -26,9 +26,8 @@
 use crate::response_body::{ResponseBody, ResponseEnd};
 
 /// Number of body bytes that are read before a response is streamed. A shorter response is buffered
-/// completely, so that a truncated one can still be replaced by that of another attempt. The
-/// largest responses on the hosting platform have 30 KB.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
+/// completely, so that a truncated one can still be replaced by that of another attempt.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Longest time from the start of an attempt until its request is sent: if a pooled connection turns
 /// out to be closed, a new one is opened.
@@ -78,6 +77,8 @@
     pub(crate) http: Response<CallerResponseBody>,
     pub(crate) server: ServerId,
     pub(crate) report_age: Option<Duration>,
+    /// Size of the body; `None` if it is streamed without a known length.
+    pub(crate) body_bytes: Option<u64>,
 }
 
 /// Parameters of one attempt.
@@ -125,7 +126,7 @@
     let service = &lease.service;
     let (server, address) = {
         let group = service.group();
-        let (server, address) = group.id_and_address(lease.ticket)?;
+        let (server, address) = group.id_and_address(lease.ticket())?;
         (server.clone(), address)
     };
     if let Some(connection) = service.pool.take_idle(address, reuse_policy, Instant::now()) {
@@ -225,7 +226,7 @@
         .is_some_and(|value| value.as_bytes() != exchange.server.as_str().as_bytes())
         || exchange.response.status() == hyper::StatusCode::MISDIRECTED_REQUEST;
     if is_other_server {
-        lease.service.group().mark_leaving(lease.ticket);
+        lease.service.group().mark_leaving(lease.ticket());
         lease.finish(SampleOutcome::Cancelled, None);
         return AttemptOutcome::NotRun(NotRunReason::OtherServer);
     }
@@ -257,6 +258,10 @@
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::ConnectionBroken);
     };
+    let body_bytes = match is_complete {
+        true => Some(bytes.len() as u64),
+        false => incoming.size_hint().exact().map(|rest| rest + bytes.len() as u64),
+    };
     let http = if is_complete {
         connection.record_response(Instant::now(), keep_alive);
         lease.service.pool.put_idle(connection, Instant::now());
@@ -270,7 +275,7 @@
             StreamCompletion { lease, connection, outcome, report },
         )
     };
-    AttemptOutcome::Responded(ServerResponse { http, server, report_age })
+    AttemptOutcome::Responded(ServerResponse { http, server, report_age, body_bytes })
 }
 
 /// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter. Returns
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -300,7 +300,7 @@
         *request.headers_mut() = self.head.headers.clone();
         let is_sent = Arc::new(AtomicBool::new(false));
         sent_flags.push(Arc::clone(&is_sent));
-        self.progress.attempted_servers.push(server.lease.ticket);
+        self.progress.attempted_servers.push(server.lease.ticket());
         self.progress.last_server = server.lease.server_id();
         self.progress.attempts += 1;
         let context = AttemptContext {
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -27,10 +27,6 @@
 use crate::hosted::service::HostedServices;
 use crate::request_body::{BodyLimits, RequestBody};
 
-/// Size of a response that is assumed when a server is selected. Responses on the hosting platform
-/// have about 5 KB.
-const TYPICAL_RESPONSE_BYTES: u64 = 5_000;
-
 /// Longest time that a request waits for the first configuration and server list, which arrive
 /// within about 20 ms of the start. The limit is an eighth of the longest latency target on the
 /// hosting platform.
@@ -115,6 +111,7 @@
             elapsed: Duration::ZERO,
         };
         let table = self.board.wait_for_routes(STARTUP_CONFIG_TIMEOUT).await;
+        summary.progress.config_version = table.as_ref().map(|table| table.version);
         let result = match find_route(table.as_deref(), &request) {
             Ok((table, route)) => {
                 summary.route = Some(route);
@@ -156,12 +153,12 @@
         let service = self.services.get_or_create(&self.route_stats.next_service(route));
         service.budget().record_request(now);
         progress.service = Some(service.name.clone());
-        progress.config_version = Some(table.version);
         let body = self.read_body(table, incoming, deadline).await?;
         let request_bytes = body.buffered_bytes() as u64;
         let shape = RequestShape {
             service_time: self.route_stats.service_time(route),
-            transfer_bytes: request_bytes + TYPICAL_RESPONSE_BYTES,
+            transfer_bytes: request_bytes + self.route_stats.response_bytes(route),
+            target: route.target_latency,
         };
         let health_path = table.services.get(&service.name).map(|info| &*info.health_path);
         let mut dispatch = HostedDispatch {
@@ -181,6 +178,9 @@
         let sent_at = Instant::now();
         let result = dispatch.run().await;
         *progress = dispatch.progress;
+        if let Some(bytes) = result.as_ref().ok().and_then(|response| response.body_bytes) {
+            self.route_stats.record_response_bytes(route, bytes);
+        }
         if result.as_ref().is_ok_and(|response| response.http.status().is_success())
             && progress.attempts == 1
         {
--- a/components/proxy/src/hosted/route_stats.rs
+++ b/components/proxy/src/hosted/route_stats.rs
@@ -1,4 +1,5 @@
-//! Statistics of each route: the typical service time of its requests, and the credits by which its
+//! Statistics of each route: the typical service time of its requests, the size of its responses,
+//! and the credits by which its
 //! requests are distributed over its services.
 
 use std::sync::{Mutex, MutexGuard};
@@ -24,6 +25,13 @@
 /// Step by which a sample moves the estimated quantile, as a fraction of the estimate.
 const QUANTILE_STEP_FRACTION: f64 = 0.05;
 
+/// Size that is assumed for a response before the first one of its route: large enough to stay in
+/// the own zone if possible.
+const INITIAL_RESPONSE_BYTES: f64 = 65_536.0;
+
+/// Weight of the newest response in the moving average of the size.
+const NEWEST_SIZE_WEIGHT: f64 = 0.1;
+
 /// Statistics of all routes, by route name.
 #[derive(Default)]
 pub(crate) struct RouteStatsTable {
@@ -33,6 +41,8 @@
 struct RouteStats {
     /// Typical service time of a request.
     service_seconds: f64,
+    /// Moving average of the size of response bodies; `None` before the first.
+    response_bytes: Option<f64>,
     /// Longest time that a caller has allowed for a request, which is that of a first attempt.
     longest_requested_time: Duration,
     credits: Vec<ServiceCredit>,
@@ -71,6 +81,20 @@
         });
     }
 
+    /// Returns the mean size of a response on the route.
+    pub(crate) fn response_bytes(&self, route: &HostedRoute) -> u64 {
+        self.with_stats(route, |stats| stats.response_bytes.unwrap_or(INITIAL_RESPONSE_BYTES))
+            as u64
+    }
+
+    /// Updates the mean size of a response.
+    pub(crate) fn record_response_bytes(&self, route: &HostedRoute, bytes: u64) {
+        self.with_stats(route, |stats| {
+            let mean = stats.response_bytes.get_or_insert(bytes as f64);
+            *mean += (bytes as f64 - *mean) * NEWEST_SIZE_WEIGHT;
+        });
+    }
+
     /// Returns how long the caller has spent on earlier attempts of the request. The estimate is
     /// the difference between the longest time that a caller has allowed and `requested_time`.
     pub(crate) fn time_before_attempt(
@@ -105,6 +129,7 @@
         }
         let stats = routes.entry(route.name.clone()).or_insert_with(|| RouteStats {
             service_seconds: response_goal_seconds(route) * INITIAL_SERVICE_TIME_FRACTION,
+            response_bytes: None,
             longest_requested_time: Duration::ZERO,
             credits: Vec::new(),
         });
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -23,10 +23,6 @@
 /// Age below which a load report needs no new probe.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(15);
 
-/// Longest time that a selection waits for probes. Servers on the hosting platform respond within
-/// 6 ms plus the network delay.
-const MAX_PROBE_WAIT: Duration = Duration::from_millis(25);
-
 /// Time after which the server of an unanswered probe counts as unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -78,11 +74,11 @@
     }
     let now = Instant::now();
     let (ticket, estimate) = context.service.group().best_server(&considered, shape, now)?;
-    let lease = ServerLease::acquire(context.service, ticket, now);
+    let lease = ServerLease::acquire(context.service, ticket, shape, now);
     Some(SelectedServer { lease, estimate })
 }
 
-/// Probes candidates for their load until one is good enough or `MAX_PROBE_WAIT` has passed.
+/// Probes candidates for their load until one is good enough or the group's probe wait has passed.
 async fn probe_candidates(
     context: &SelectionContext<'_>,
     candidates: &[ServerTicket],
@@ -101,7 +97,7 @@
             probes.spawn(probe_server(service, wire, *ticket, path.into()));
         }
     }
-    let probe_deadline = now + MAX_PROBE_WAIT;
+    let probe_deadline = now + context.service.group().probe_wait();
     while let Ok(Some(_)) = timeout_at(probe_deadline, probes.join_next()).await {
         let best = context.service.group().best_server(candidates, shape, Instant::now());
         let is_good_enough = best.is_some_and(|(ticket, estimate)| {
@@ -147,7 +143,9 @@
         Some(connection) => connection,
         None => service.pool.open(address, MAX_CONNECTIONS_PER_SERVER).await.ok()?,
     };
+    let sent_at = Instant::now();
     let response = connection.sender.send_request(probe_request(address, path)?).await.ok()?;
+    service.group().record_probe_time(ticket, sent_at.elapsed());
     let headers = response.headers();
     let responding_server = headers.get(&wire.headers.responding_server);
     let is_other_server =
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -7,7 +7,9 @@
 use arc_swap::ArcSwap;
 use tokio::time::Instant;
 
-use balance::{PlacementGroup, PlacementOptions, PlacementServer, ServerTicket};
+use balance::{
+    PlacementGroup, PlacementOptions, PlacementServer, RequestShape, ServerTicket, StartedRequest,
+};
 use limits::{AttemptBudget, AttemptLimits};
 use model::{FastMap, ServerId};
 use routes::{ServerRecord, ServiceName};
@@ -119,7 +121,7 @@
                 |address| servers.iter().any(|server| server.address == *address),
                 now,
             );
-            service.group().set_servers(&servers, now);
+            service.group().set_servers(&servers);
         }
     }
 
@@ -164,7 +166,7 @@
 /// an outcome, the request counts as cancelled.
 pub(crate) struct ServerLease {
     pub(crate) service: Arc<HostedService>,
-    pub(crate) ticket: ServerTicket,
+    request: StartedRequest,
     /// Age of the load report by which the server was selected.
     pub(crate) report_age: Option<Duration>,
     is_finished: bool,
@@ -175,18 +177,24 @@
     pub(crate) fn acquire(
         service: &Arc<HostedService>,
         ticket: ServerTicket,
+        shape: RequestShape,
         now: Instant,
     ) -> Self {
         let mut group = service.group();
-        group.start_request(ticket);
+        let request = group.start_request(ticket, shape, now);
         let report_age = group.report_age(ticket, now);
         drop(group);
-        Self { service: Arc::clone(service), ticket, report_age, is_finished: false }
+        Self { service: Arc::clone(service), request, report_age, is_finished: false }
+    }
+
+    /// Returns the ticket of the server.
+    pub(crate) fn ticket(&self) -> ServerTicket {
+        self.request.ticket()
     }
 
     /// Returns the server's ID, or `None` if the server is no longer listed.
     pub(crate) fn server_id(&self) -> Option<ServerId> {
-        self.service.group().id_and_address(self.ticket).map(|(id, _)| id.clone())
+        self.service.group().id_and_address(self.ticket()).map(|(id, _)| id.clone())
     }
 
     /// Releases the lease with the outcome of the request and the load that the server reported.
@@ -196,7 +204,7 @@
         report: Option<balance::ServerLoad>,
     ) {
         self.is_finished = true;
-        self.service.group().finish_request(self.ticket, outcome, report, Instant::now());
+        self.service.group().finish_request(self.request, outcome, report, Instant::now());
     }
 }
 
@@ -204,7 +212,7 @@
     fn drop(&mut self) {
         if !self.is_finished {
             let outcome = balance::SampleOutcome::Cancelled;
-            self.service.group().finish_request(self.ticket, outcome, None, Instant::now());
+            self.service.group().finish_request(self.request, outcome, None, Instant::now());
         }
     }
 }
@@ -217,6 +225,5 @@
         zone: record.zone.clone(),
         slots: record.slots,
         is_leaving: record.is_leaving,
-        slow_start_remaining: record.slow_start_remaining,
     }
 }
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -41,6 +41,10 @@
     pub store_contact_limit_s: f64,
     /// Agreed budget of extra attempts at a service.
     pub retries: RetrySettings,
+    /// Price of a GB that crosses availability zones, in requests: sending it costs as much as
+    /// failing this number of requests. 0 if it costs nothing.
+    #[serde(default = "default_cross_zone_price")]
+    pub cross_zone_requests_per_gb: f64,
     /// Minimum level of log records that are written.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -70,6 +74,12 @@
     }
 }
 
+/// Price of a GB between zones if the settings have none: a response of 5 KB to another zone costs
+/// a twentieth of a request.
+const fn default_cross_zone_price() -> f64 {
+    9_000.0
+}
+
 const fn required(name: &'static str, kind: FieldKind) -> FieldRule {
     FieldRule { name, kind, is_required: true }
 }
@@ -92,6 +102,11 @@
     required("grace_s", FieldKind::Number(0.1, 3_600.0)),
     required("contact_s", FieldKind::Number(0.1, 3_600.0)),
     required("retries", FieldKind::Object(RETRY_FIELDS)),
+    FieldRule {
+        name: "cross_zone_requests_per_gb",
+        kind: FieldKind::Number(0.0, 1e9),
+        is_required: false,
+    },
     FieldRule {
         name: "log_level",
         kind: FieldKind::Choice(&["debug", "info", "warning", "error"]),
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -15,13 +15,16 @@
 use platform::{wire_interface, write_load_header, write_not_run_header};
 use routes::{ServerRecord, ServiceName, WireInterface};
 
-use crate::backend::truncated_response;
+use crate::backend::{TRUNCATED_BYTES, truncated_response};
 use crate::hosted::HEALTH_PATH;
 use crate::web::{WebBody, WebServer, never};
 
 /// Concurrent requests that each server reports as its capacity. The fake does not enforce it.
 const SLOTS: u32 = 4;
 
+/// Bytes of a truncated download that are sent.
+const TRUNCATED_DOWNLOAD_BYTES: usize = 90_000;
+
 /// ID of the server that took over the address of another one.
 const REPLACEMENT_SERVER_ID: &str = "other-server";
 
@@ -36,6 +39,8 @@
     RunAndDisconnect,
     /// Runs the request and truncates the response body; every second response is chunked.
     Truncate,
+    /// Like `Truncate`, after the bytes of a large download.
+    TruncateDownload,
     /// Responds with the ID of another request.
     WrongRequestId,
     /// Responds without a signature.
@@ -196,7 +201,12 @@
                 *self.behaviour.lock().expect("behaviour lock is never poisoned") = next_behaviour;
                 return None;
             }
-            HostedBehaviour::Truncate => truncated_response(self.run_count().is_multiple_of(2)),
+            HostedBehaviour::Truncate => {
+                truncated_response(self.run_count().is_multiple_of(2), TRUNCATED_BYTES)
+            }
+            HostedBehaviour::TruncateDownload => {
+                truncated_response(self.run_count().is_multiple_of(2), TRUNCATED_DOWNLOAD_BYTES)
+            }
             HostedBehaviour::Fail(status) => self.response_with_load(
                 StatusCode::from_u16(status).expect("tests use valid statuses"),
                 text,
--- a/tests/hosted_logs.rs
+++ b/tests/hosted_logs.rs
@@ -37,6 +37,12 @@
     );
     assert!(line["server"].as_str().is_some_and(|server| server.starts_with("s-")));
 
+    let mut unrouted = fleet.idempotent_request();
+    unrouted.path = "/nowhere/1".into();
+    assert_eq!(call(&unrouted).await.expect("the daemon responds").status, 404);
+    let line = wait_for_request_log(&fleet, &unrouted).await;
+    assert_eq!(line["config"].as_u64(), Some(1), "the version that has no such route");
+
     fleet.set_behaviour(HostedBehaviour::Shed);
     let shed = fleet.order_request("one stone");
     assert_eq!(call(&shed).await.expect("the daemon responds").status, 503);
