Use free slots of servers whose speed isn't known

Cause: without a recent report the estimate is that at the mean speed, which misses the target where some machines are several times slower; a request then waited for a better server, although a wait brings no better knowledge. Change: an estimate states whether it rests on a recent report, by the learned persistence; otherwise a free slot counts as in time. Test: a free slot with unknown speed is used, saturated or not.

--- a/components/balance/src/placement/admission.rs
+++ b/components/balance/src/placement/admission.rs
@@ -79,7 +79,8 @@
 /// capacity would otherwise be unused. If the group is saturated, a request is sent only to a free
 /// slot and only if it can meet its target: several entry VMs see the same free slot, so their
 /// requests would wait at the server, and a late request takes the slot of one that could be on
-/// time.
+/// time. If the speed of the server isn't known, a free slot counts as in time: most machines are
+/// fast, and a wait brings no better knowledge.
 pub fn admit(
     estimate: &PlacementEstimate,
     shape: RequestShape,
@@ -90,8 +91,9 @@
     if now + shape.service_time > times.deadline {
         return AdmissionDecision::Refuse;
     }
-    let is_in_time = now + estimate.expected_time() <= times.target_at;
     let is_free = estimate.wait_seconds <= 0.0;
+    let is_in_time =
+        now + estimate.expected_time() <= times.target_at || (is_free && !estimate.is_informed);
     let is_out_of_reach = now + shape.service_time > times.target_at;
     let may_send = match is_saturated {
         true => is_in_time && is_free,
--- a/components/balance/src/placement/estimate.rs
+++ b/components/balance/src/placement/estimate.rs
@@ -39,6 +39,9 @@
     /// Value by which servers are compared: wait and run time, increased for servers that fail or
     /// are in another zone.
     pub cost_seconds: f64,
+    /// Whether the server reported its speed so recently that the report is likely to be true.
+    /// Otherwise the times are those at the mean speed of the server.
+    pub is_informed: bool,
 }
 
 /// What a group has learned about its servers.
@@ -114,6 +117,7 @@
             wait_seconds,
             run_seconds,
             cost_seconds: (wait_seconds + run_seconds) * failure_penalty + zone_cost_seconds,
+            is_informed: self.is_informed(server, now),
         }
     }
 
@@ -161,6 +165,11 @@
         f64::from(server.local_in_flight()) + remote
     }
 
+    fn is_informed(&self, server: &ServerState, now: Instant) -> bool {
+        let time_constant = self.report_persistence.time_constant();
+        server.report_age(now).is_some_and(|age| age.as_secs_f64() <= time_constant)
+    }
+
     /// Slowness of the server after `delay_seconds`. Without a report, a request that runs for
     /// longer than is typical shows that its server is slow.
     fn slowness_after(
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -226,7 +226,12 @@
     };
     let shape = RequestShape { service_time: Duration::from_millis(220), ..SHAPE };
     admit(
-        &PlacementEstimate { wait_seconds, run_seconds, cost_seconds: wait_seconds + run_seconds },
+        &PlacementEstimate {
+            wait_seconds,
+            run_seconds,
+            cost_seconds: wait_seconds + run_seconds,
+            is_informed: true,
+        },
         shape,
         times,
         is_saturated,
@@ -252,11 +257,38 @@
         target_at: now + Duration::from_millis(100),
         deadline: now + Duration::from_millis(1_500),
     };
-    let slow = PlacementEstimate { wait_seconds: 0.0, run_seconds: 1.1, cost_seconds: 1.1 };
+    let slow = PlacementEstimate {
+        wait_seconds: 0.0,
+        run_seconds: 1.1,
+        cost_seconds: 1.1,
+        is_informed: true,
+    };
     assert_eq!(admit(&slow, SHAPE, times, false, now), AdmissionDecision::Send);
     assert_eq!(admit(&slow, SHAPE, times, true, now), AdmissionDecision::Refuse);
 }
 
+/// Servers that aren't probed, or report no load: their mean speed misses the target, since some of
+/// them are slow, but most requests would meet it.
+#[test]
+fn free_slot_of_server_with_unknown_speed_is_used() {
+    let now = Instant::now();
+    let times = RequestTimes {
+        target_at: now + Duration::from_millis(600),
+        deadline: now + Duration::from_millis(1_500),
+    };
+    let mean = PlacementEstimate {
+        wait_seconds: 0.0,
+        run_seconds: 0.7,
+        cost_seconds: 0.7,
+        is_informed: false,
+    };
+    for is_saturated in [false, true] {
+        assert_eq!(admit(&mean, SHAPE, times, is_saturated, now), AdmissionDecision::Send);
+    }
+    let queued = PlacementEstimate { wait_seconds: 0.2, ..mean };
+    assert_eq!(admit(&queued, SHAPE, times, false, now), AdmissionDecision::Queue);
+}
+
 /// Several entry VMs see each free slot of a saturated group. A request sent to wait at a server,
 /// or one that will miss its target, would take the slot of one that could be on time.
 #[test]
@@ -270,11 +302,21 @@
 fn request_that_cannot_finish_in_time_is_refused() {
     let now = Instant::now();
     let shape = RequestShape { service_time: Duration::from_millis(220), ..SHAPE };
-    let estimate = PlacementEstimate { wait_seconds: 0.4, run_seconds: 0.3, cost_seconds: 0.7 };
+    let estimate = PlacementEstimate {
+        wait_seconds: 0.4,
+        run_seconds: 0.3,
+        cost_seconds: 0.7,
+        is_informed: true,
+    };
     let at = |millis| now + Duration::from_millis(millis);
     let times = RequestTimes { target_at: at(200), deadline: at(1_500) };
     assert_eq!(admit(&estimate, shape, times, false, now), AdmissionDecision::Refuse);
-    let free = PlacementEstimate { wait_seconds: 0.0, run_seconds: 0.2, cost_seconds: 0.2 };
+    let free = PlacementEstimate {
+        wait_seconds: 0.0,
+        run_seconds: 0.2,
+        cost_seconds: 0.2,
+        is_informed: true,
+    };
     let times = RequestTimes { target_at: at(600), deadline: at(200) };
     assert_eq!(admit(&free, shape, times, false, now), AdmissionDecision::Refuse);
 }
--- a/components/lab/src/selection.rs
+++ b/components/lab/src/selection.rs
@@ -128,8 +128,12 @@
     /// Returns the placement of a policy that estimates neither wait nor slowdown.
     fn uninformed_placement(&self, server: usize) -> ModelPlacement {
         let run_seconds = self.request_shape().service_time.as_secs_f64();
-        let estimate =
-            PlacementEstimate { wait_seconds: 0.0, run_seconds, cost_seconds: run_seconds };
+        let estimate = PlacementEstimate {
+            wait_seconds: 0.0,
+            run_seconds,
+            cost_seconds: run_seconds,
+            is_informed: true,
+        };
         ModelPlacement { server, ticket: None, estimate }
     }
 
@@ -151,7 +155,12 @@
         let is_free = self.servers[server].has_free_slot();
         // A positive wait marks the server as occupied; the wait itself is part of `run_seconds`.
         let wait_seconds = if is_free { 0.0 } else { f64::MIN_POSITIVE };
-        let estimate = PlacementEstimate { wait_seconds, run_seconds, cost_seconds: run_seconds };
+        let estimate = PlacementEstimate {
+            wait_seconds,
+            run_seconds,
+            cost_seconds: run_seconds,
+            is_informed: true,
+        };
         Some(ModelPlacement { server, ticket: None, estimate })
     }
 
--- /dev/null
+++ b/components/settings/tests/hosted.rs
@@ -0,0 +1,40 @@
+//! Checks the settings of a hosted entry VM.
+
+use std::path::PathBuf;
+
+use serde_json::{Value, json};
+use settings::{HostedSettings, load_hosted_settings};
+
+fn hosted_settings() -> Value {
+    json!({
+        "vm": "entry-1", "zone": "zone-a", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+        "store": "127.0.0.1:3", "relay": "127.0.0.1:4", "relays": ["127.0.0.1:4"],
+        "grace_s": 6, "contact_s": 3, "retries": { "ratio": 0.2, "slack": 58, "window_s": 10 },
+    })
+}
+
+fn load(name: &str, settings: &Value) -> Result<HostedSettings, String> {
+    let folder = std::env::temp_dir().join(format!("mustardrail-hosted-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+    let path: PathBuf = folder.join(name);
+    std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
+    load_hosted_settings(&path).map_err(|error| format!("{:?}", miette::Report::new(error)))
+}
+
+#[test]
+fn price_of_bytes_between_zones_has_a_default() {
+    let settings = load("default.json", &hosted_settings()).expect("the settings are valid");
+    assert_eq!(settings.cross_zone_requests_per_gb, 9_000.0);
+    let mut free_transfers = hosted_settings();
+    free_transfers["cross_zone_requests_per_gb"] = json!(0);
+    let settings = load("free.json", &free_transfers).expect("the settings are valid");
+    assert_eq!(settings.cross_zone_requests_per_gb, 0.0);
+}
+
+#[test]
+fn invalid_price_of_bytes_is_named() {
+    let mut invalid = hosted_settings();
+    invalid["cross_zone_requests_per_gb"] = json!(-1);
+    let report = load("invalid.json", &invalid).expect_err("the price is negative");
+    assert!(report.contains("cross_zone_requests_per_gb"), "{report}");
+}
