Earn half of the extra attempts in the earlier window

Change: half of the ratio is earned by the window itself and half by the window half a window earlier. The bound holds as before, and half of the ratio is usable in a burst; in the first window of an entry VM, half of it until the earlier window has requests. Ruled out: the best of the windows for each entry VM (the sum over the VMs may exceed the best for the fleet); load of the machine (fails and passes beside the same load).

--- a/components/limits/src/attempts.rs
+++ b/components/limits/src/attempts.rs
@@ -24,7 +24,7 @@
 const HALF_WINDOW_STEPS: usize = WINDOW_STEPS / 2;
 
 /// Share of the ratio that is earned by the requests of the window itself.
-const COUNTED_IN_WINDOW: f64 = 0.75;
+const COUNTED_IN_WINDOW: f64 = 0.5;
 
 /// Steps at the start of a window whose requests aren't counted: one that the window may cover only
 /// in part, and one since a caller sends a request before it arrives.
