Write the decay of a report once and keep the learned time constant

Cause: reading the change again. Change: `decayed` and `free_slots_beside` serve all places; SpeedPersistence keeps its time constant and finds it again with each observation; the zone is borrowed.

--- a/components/balance/src/placement/estimate.rs
+++ b/components/balance/src/placement/estimate.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::placement::load_curve::LoadCurve;
-use crate::placement::persistence::{SpeedPersistence, decay_factor};
+use crate::placement::persistence::{SpeedPersistence, decayed};
 use crate::placement::server::ServerState;
 
 /// Upper limit of the failure ratio in an estimate; a higher one doesn't raise the cost further.
@@ -105,7 +105,7 @@
     ) -> PlacementEstimate {
         let service_seconds = shape.service_time.as_secs_f64();
         let slots = f64::from(server.listed.slots);
-        let free_slots = slots - self.in_flight(server, service_seconds, now) - 1.0;
+        let free_slots = self.free_slots_beside(server, service_seconds, now);
         let loaded_seconds = service_seconds * self.load_curve.slowdown(free_slots);
         let typical = server.typical_slowness.max(f64::MIN_POSITIVE);
         let wait_seconds = (-free_slots).max(0.0) / slots * loaded_seconds * typical.max(1.0);
@@ -129,8 +129,7 @@
         now: Instant,
     ) -> RunForecast {
         let service_seconds = shape.service_time.as_secs_f64();
-        let free_slots =
-            f64::from(server.listed.slots) - self.in_flight(server, service_seconds, now) - 1.0;
+        let free_slots = self.free_slots_beside(server, service_seconds, now);
         RunForecast {
             service_seconds,
             slowness: self.slowness_after(server, service_seconds, 0.0, now),
@@ -154,13 +153,18 @@
         self.load_curve.observe(forecast.free_slots, slowdown);
     }
 
+    /// Slots that one more request leaves free at the server; negative if it has to wait.
+    fn free_slots_beside(&self, server: &ServerState, service_seconds: f64, now: Instant) -> f64 {
+        f64::from(server.listed.slots) - self.in_flight(server, service_seconds, now) - 1.0
+    }
+
     /// Requests at the server: those of this entry VM, and the reported number of others, decayed
     /// toward the group's mean.
     fn in_flight(&self, server: &ServerState, service_seconds: f64, now: Instant) -> f64 {
         let mean = self.remote_per_slot * f64::from(server.listed.slots);
         let remote = server.report.map_or(mean, |report| {
             let age = now.saturating_duration_since(report.received_at).as_secs_f64();
-            mean + (report.remote_in_flight - mean) * decay_factor(age, service_seconds)
+            decayed(report.remote_in_flight, mean, age, service_seconds)
         });
         f64::from(server.local_in_flight()) + remote
     }
@@ -185,8 +189,7 @@
             return typical.max(oldest.as_secs_f64() / service_seconds.max(f64::MIN_POSITIVE));
         };
         let age = now.saturating_duration_since(report.received_at).as_secs_f64() + delay_seconds;
-        let time_constant = self.report_persistence.time_constant();
-        typical + (report.slowness - typical) * decay_factor(age, time_constant)
+        decayed(report.slowness, typical, age, self.report_persistence.time_constant())
     }
 }
 
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -11,7 +11,7 @@
 use model::{FastMap, ServerId, ZoneName};
 
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
-use crate::placement::persistence::decay_factor;
+use crate::placement::persistence::decayed;
 use crate::placement::server::{PlacementServer, ServerLoad, ServerState};
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
@@ -343,18 +343,17 @@
         let Some((report, state)) = previous else {
             return;
         };
-        let (age, typical) = (state.report_age(now), state.typical_slowness);
-        let age = age.unwrap_or_default().as_secs_f64();
+        let typical = state.typical_slowness;
+        let age = now.saturating_duration_since(report.received_at).as_secs_f64();
         self.model.report_persistence.observe(load.slowness, |time_constant| {
-            typical + (report.slowness - typical) * decay_factor(age, time_constant)
+            decayed(report.slowness, typical, age, time_constant)
         });
     }
 
     /// Records the time that a server took to answer a probe.
     pub fn record_probe_time(&mut self, ticket: ServerTicket, elapsed: Duration) {
-        let zone = self.state(ticket).map(|state| state.listed.zone.clone());
-        if let Some(zone) = zone {
-            self.zone_latencies.observe(&zone, elapsed);
+        if let Some(index) = self.index_of(ticket) {
+            self.zone_latencies.observe(&self.servers[index].1.listed.zone, elapsed);
         }
     }
 
--- a/components/balance/src/placement/persistence.rs
+++ b/components/balance/src/placement/persistence.rs
@@ -30,6 +30,9 @@
 pub struct SpeedPersistence {
     /// Decayed sum of the losses of each candidate.
     losses: [f64; CANDIDATES],
+    /// Invariant: that of the candidate with the smallest loss. It is kept since every estimate of
+    /// a server uses it.
+    time_constant: f64,
 }
 
 impl SpeedPersistence {
@@ -37,16 +40,13 @@
     /// samples.
     pub fn new(prior_seconds: f64) -> Self {
         let steps = (prior_seconds / SHORTEST_TIME_CONSTANT).log2();
-        Self {
-            losses: std::array::from_fn(|candidate| PRIOR_LOSS * (candidate as f64 - steps).abs()),
-        }
+        let losses = std::array::from_fn(|candidate| PRIOR_LOSS * (candidate as f64 - steps).abs());
+        Self { losses, time_constant: best_time_constant(&losses) }
     }
 
     /// Returns the time constant with the smallest recent loss, in seconds.
     pub fn time_constant(&self) -> f64 {
-        let candidates =
-            (0..CANDIDATES).min_by(|one, other| self.losses[*one].total_cmp(&self.losses[*other]));
-        candidate_time_constant(candidates.unwrap_or_default())
+        self.time_constant
     }
 
     /// Applies one observation: `forecast` returns the slowness that a time constant predicts for
@@ -60,14 +60,20 @@
             let error = observed.min(MAX_SLOWNESS) - predicted.clamp(0.0, MAX_SLOWNESS);
             *loss = *loss * LOSS_DECAY + error * error;
         }
+        self.time_constant = best_time_constant(&self.losses);
     }
 }
 
+fn best_time_constant(losses: &[f64; CANDIDATES]) -> f64 {
+    let best = (0..CANDIDATES).min_by(|one, other| losses[*one].total_cmp(&losses[*other]));
+    candidate_time_constant(best.unwrap_or_default())
+}
+
 fn candidate_time_constant(candidate: usize) -> f64 {
     SHORTEST_TIME_CONSTANT * f64::from(1_u32 << candidate)
 }
 
-/// Returns the factor by which a deviation decays within `age` seconds.
-pub(crate) fn decay_factor(age: f64, time_constant: f64) -> f64 {
-    (-age / time_constant.max(f64::MIN_POSITIVE)).exp()
+/// Returns a reported value after `age` seconds, in which it decays toward the mean.
+pub(crate) fn decayed(reported: f64, mean: f64, age: f64, time_constant: f64) -> f64 {
+    mean + (reported - mean) * (-age / time_constant.max(f64::MIN_POSITIVE)).exp()
 }
