Simplify the windows of the attempt budget and share the times of its tests

Cause: reading the change again. The budget shifted all step numbers by an offset to keep them positive; two placement tests built the same times as a third. A module comment is wrapped.

--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -217,13 +217,18 @@
     assert!(group.is_worth_probing());
 }
 
+/// Times of a request with a target in 600 ms and a deadline in 1.5 s.
+fn times_from(now: Instant) -> RequestTimes {
+    RequestTimes {
+        target_at: now + Duration::from_millis(600),
+        deadline: now + Duration::from_millis(1_500),
+    }
+}
+
 /// Decides on a request with this estimate, a target in 600 ms and a deadline in 1.5 s.
 fn decide(wait_seconds: f64, run_seconds: f64, is_saturated: bool) -> AdmissionDecision {
     let now = Instant::now();
-    let times = RequestTimes {
-        target_at: now + Duration::from_millis(600),
-        deadline: now + Duration::from_millis(1_500),
-    };
+    let times = times_from(now);
     let shape = RequestShape { service_time: Duration::from_millis(220), ..SHAPE };
     admit(
         &PlacementEstimate {
@@ -272,10 +277,7 @@
 #[test]
 fn free_slot_of_server_with_unknown_speed_is_used() {
     let now = Instant::now();
-    let times = RequestTimes {
-        target_at: now + Duration::from_millis(600),
-        deadline: now + Duration::from_millis(1_500),
-    };
+    let times = times_from(now);
     let mean = PlacementEstimate {
         wait_seconds: 0.0,
         run_seconds: 0.7,
--- a/components/limits/src/attempts.rs
+++ b/components/limits/src/attempts.rs
@@ -113,23 +113,20 @@
     /// arrival, if no further request arrives.
     fn is_extra_allowed(&self) -> bool {
         let counts = CumulativeCounts::new(&self.steps);
-        let end = self.steps.len();
-        let delay_steps = self.limits.delay_steps();
-        // Windows are identified by the step in which they start. The earliest one ends in the
-        // current step, the latest one starts at the latest arrival. Steps before the first one in
-        // `steps` are empty, so a window that starts there counts the same as one that starts in
-        // step 0 or one of those before it; an offset keeps the indexes positive.
-        let offset = WINDOW_STEPS + HALF_WINDOW_STEPS + delay_steps;
-        let earliest = offset + end - 1 - WINDOW_STEPS;
-        let latest = offset + end - 1 + delay_steps;
+        let end = self.steps.len() as isize;
+        let delay_steps = self.limits.delay_steps() as isize;
+        let half_window = HALF_WINDOW_STEPS as isize;
+        // Windows are identified by the step in which they start, which is negative before the
+        // first one in `steps`. The earliest window ends in the current step, the latest one starts
+        // at the latest arrival.
+        let earliest = end - 1 - WINDOW_STEPS as isize;
+        let latest = end - 1 + delay_steps;
         (earliest..=latest).all(|start| {
-            let index = |step: usize| step.saturating_sub(offset);
-            let extra = counts.extra(index(start - delay_steps), end);
-            let in_window = counts.requests(index(start + UNCOUNTED_STEPS), end);
-            let half_window_earlier = counts.requests(
-                index(start + UNCOUNTED_STEPS - HALF_WINDOW_STEPS),
-                index(start + HALF_WINDOW_STEPS),
-            );
+            let extra = counts.extra(start - delay_steps, end);
+            let counted_from = start + UNCOUNTED_STEPS as isize;
+            let in_window = counts.requests(counted_from, end);
+            let half_window_earlier =
+                counts.requests(counted_from - half_window, start + half_window);
             let counted =
                 COUNTED_IN_WINDOW * in_window + (1.0 - COUNTED_IN_WINDOW) * half_window_earlier;
             extra + 1.0 <= counted * self.limits.ratio + self.limits.slack
@@ -178,15 +175,16 @@
         Self { sums }
     }
 
-    fn requests(&self, start: usize, end: usize) -> f64 {
+    fn requests(&self, start: isize, end: isize) -> f64 {
         (self.at(end).requests - self.at(start).requests).max(0.0)
     }
 
-    fn extra(&self, start: usize, end: usize) -> f64 {
+    fn extra(&self, start: isize, end: isize) -> f64 {
         (self.at(end).extra - self.at(start).extra).max(0.0)
     }
 
-    fn at(&self, count: usize) -> StepCounts {
-        self.sums[count.min(self.sums.len() - 1)]
+    /// Returns the sum before a step. Steps before the first one and after the last one are empty.
+    fn at(&self, step: isize) -> StepCounts {
+        self.sums[step.clamp(0, self.sums.len() as isize - 1) as usize]
     }
 }
--- a/components/proxy/src/hosted/route_stats.rs
+++ b/components/proxy/src/hosted/route_stats.rs
@@ -1,6 +1,5 @@
 //! Statistics of each route: the typical service time of its requests, the size of its responses,
-//! and the credits by which its
-//! requests are distributed over its services.
+//! and the credits by which its requests are distributed over its services.
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
