Log how much of a message had arrived when a transfer ends

Change: the error of a timed-out message of a relay, or response of the store, has the bytes received; the log line of a configuration in force has its source and how long ago the source had confirmed the previous one. Peers' sockets record the bytes they read and write; both sides build their WebSocket in one place. No timeout changes.

--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -12,6 +12,20 @@
 use proxy::HostedServices;
 use routes::{RouteTable, ServerChange, ServerRegistry};
 
+/// Where a configuration came from.
+pub(crate) struct ConfigSource {
+    /// The store, or the address of a relay.
+    pub(crate) name: Box<str>,
+    /// Time at which the source had confirmed the configuration that was held before.
+    pub(crate) confirmed_at: Option<Instant>,
+}
+
+impl ConfigSource {
+    fn confirmed_ago_ms(&self) -> Option<u64> {
+        self.confirmed_at.map(|at| at.elapsed().as_millis() as u64)
+    }
+}
+
 /// The list of servers and its version.
 #[derive(Default)]
 struct ServerListState {
@@ -78,13 +92,14 @@
 
     /// Puts a configuration in force and forwards it to subscribers, unless its version is not
     /// newer.
-    pub(crate) fn apply_config(&self, table: RouteTable) {
+    pub(crate) fn apply_config(&self, table: RouteTable, source: &ConfigSource) {
         let (version, routes) = (table.version, table.route_count());
         if !self.board.set_routes(table) {
             return;
         }
         self.metrics.config_version.set(version.0 as i64);
-        info!(self.log, "config: in force"; "version" => version.0, "routes" => routes);
+        info!(self.log, "config: in force"; "version" => version.0, "routes" => routes,
+            "source" => %source.name, "confirmed_ago_ms" => source.confirmed_ago_ms());
         if let (Some(hub), Some(table)) = (&self.hub, self.board.routes()) {
             self.log_encode_failure(hub.publish_config(&table));
         }
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -13,7 +13,7 @@
 use platform::{PlatformStore, TableName, TableRow, parse_config_row, parse_server_row};
 use routes::ServerChange;
 
-use crate::hosted::platform_view::PlatformView;
+use crate::hosted::platform_view::{ConfigSource, PlatformView};
 use crate::hosted::relay_subscriber::RelaySubscriber;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
 
@@ -129,7 +129,10 @@
 
     fn apply_config_row(&self, row: &TableRow) {
         match parse_config_row(row) {
-            Ok(Some(table)) => self.view.apply_config(table),
+            Ok(Some(table)) => {
+                let source = ConfigSource { name: "store".into(), confirmed_at: None };
+                self.view.apply_config(table, &source);
+            }
             Ok(None) => {}
             Err(error) => self.log_invalid_row(&error),
         }
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -14,7 +14,7 @@
 use peers::{PeerError, RelayMessage, RelaySubscription};
 use routes::ServerChange;
 
-use crate::hosted::platform_view::PlatformView;
+use crate::hosted::platform_view::{ConfigSource, PlatformView};
 
 /// Age of a relay's state above which this VM subscribes to the next relay. A relay confirms its
 /// state at least once a second. This VM reads the store itself only at a slightly greater age.
@@ -72,7 +72,15 @@
                 }
                 let end = match subscription {
                     Ok(subscription) => {
-                        self.receive_updates(subscription, confirmations, stale_allowed_until).await
+                        let mut source =
+                            ConfigSource { name: relay.to_string().into(), confirmed_at: None };
+                        let updates = self.receive_updates(
+                            subscription,
+                            &mut source,
+                            confirmations,
+                            stale_allowed_until,
+                        );
+                        updates.await
                     }
                     Err(error) => SubscriptionEnd::Failed(error),
                 };
@@ -98,6 +106,7 @@
     async fn receive_updates(
         &self,
         mut subscription: RelaySubscription,
+        source: &mut ConfigSource,
         confirmations: &watch::Sender<Option<Instant>>,
         mut stale_allowed_until: Option<Instant>,
     ) -> SubscriptionEnd {
@@ -110,23 +119,28 @@
                 let now = Instant::now();
                 let age = Duration::from_millis(age_ms);
                 if age <= MAX_RELAY_STATE_AGE {
-                    confirmations.send_replace(now.checked_sub(age));
+                    source.confirmed_at = now.checked_sub(age);
+                    confirmations.send_replace(source.confirmed_at);
                     // If this relay becomes stale later, another one may be fresh.
                     stale_allowed_until = None;
                 } else if stale_allowed_until.is_none_or(|until| now >= until) {
                     return SubscriptionEnd::Stale(age_ms);
                 }
             }
-            if let Some(end) = self.apply_message(message) {
+            if let Some(end) = self.apply_message(message, source) {
                 return end;
             }
         }
     }
 
-    fn apply_message(&self, message: RelayMessage) -> Option<SubscriptionEnd> {
+    fn apply_message(
+        &self,
+        message: RelayMessage,
+        source: &ConfigSource,
+    ) -> Option<SubscriptionEnd> {
         let view = &self.view;
         match message {
-            RelayMessage::Config(table) => view.apply_config(table),
+            RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
                 view.apply_listing(version, listed);
--- a/components/peers/src/connection.rs
+++ b/components/peers/src/connection.rs
@@ -6,14 +6,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, sleep, timeout};
-use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
 use model::{VmId, jittered};
 use observe::{DaemonMetrics, Logger, info, warn};
 
 use crate::handshake::PeerIdentity;
 use crate::message::{PeerHeartbeat, PeerMessage};
-use crate::wire::{CborSocket, PeerError};
+use crate::wire::{CborSocket, PeerError, connection_ended};
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -125,15 +124,10 @@
     address: SocketAddr,
     identity: &PeerIdentity,
 ) -> Result<(CborSocket, VmId), PeerError> {
-    let connection_ended = |reason: String| PeerError::ConnectionEnded { reason: reason.into() };
-    let stream =
-        TcpStream::connect(address).await.map_err(|error| connection_ended(error.to_string()))?;
-    stream.set_nodelay(true).map_err(|error| connection_ended(error.to_string()))?;
-    let url = format!("ws://{address}/peers");
-    let (socket, _) = client_async_with_config(url, stream, Some(CborSocket::config()))
-        .await
-        .map_err(|error| connection_ended(error.to_string()))?;
-    let mut socket = CborSocket::new(socket);
+    let stream = TcpStream::connect(address).await.map_err(|error| connection_ended(&error))?;
+    stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
+    let mut socket =
+        CborSocket::connect(&format!("ws://{address}/peers"), Box::new(stream)).await?;
     let vm = identity.authenticate_as_dialer(&mut socket).await?;
     Ok((socket, vm))
 }
@@ -142,12 +136,8 @@
     stream: TcpStream,
     identity: &PeerIdentity,
 ) -> Result<(CborSocket, VmId), PeerError> {
-    let connection_ended = |reason: String| PeerError::ConnectionEnded { reason: reason.into() };
-    stream.set_nodelay(true).map_err(|error| connection_ended(error.to_string()))?;
-    let socket = accept_async_with_config(stream, Some(CborSocket::config()))
-        .await
-        .map_err(|error| connection_ended(error.to_string()))?;
-    let mut socket = CborSocket::new(socket);
+    stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
+    let mut socket = CborSocket::accept(Box::new(stream)).await?;
     let vm = identity.authenticate_as_acceptor(&mut socket).await?;
     Ok((socket, vm))
 }
@@ -194,10 +184,9 @@
     let (outbox, mut outgoing) = mpsc::channel(OUTBOX_CAPACITY);
     loop {
         let result = tokio::select! {
-            received = timeout(PEER_TIMEOUT, socket.receive::<PeerMessage>()) => match received {
-                Ok(received) => forward_message(received, vm, events, &outbox, metrics).await,
-                Err(_) => Err(PeerError::TimedOut),
-            },
+            received = socket.receive_within::<PeerMessage>(PEER_TIMEOUT) => {
+                forward_message(received, vm, events, &outbox, metrics).await
+            }
             Some(message) = outgoing.recv() => send_message(&mut socket, &message, metrics).await,
         };
         if result.is_err() {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -8,6 +8,7 @@
 mod handshake;
 mod message;
 mod relay;
+mod transfer;
 mod wire;
 
 pub use connection::{PeerEvent, PeerOutbox, accept_peers, dial_peer};
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -16,7 +16,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast;
 use tokio::time::{Instant, interval, sleep, timeout};
-use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
 use limits::MemberCount;
 use observe::{Logger, info, warn};
@@ -336,10 +335,7 @@
 
 async fn accept_subscriber(stream: TcpStream) -> Result<(CborSocket, HeldVersions), PeerError> {
     stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
-    let config = Some(CborSocket::config());
-    let socket =
-        accept_async_with_config(stream, config).await.map_err(|error| connection_ended(&error))?;
-    let mut socket = CborSocket::new(socket);
+    let mut socket = CborSocket::accept(Box::new(stream)).await?;
     let (held, _) = socket.receive().await?;
     Ok((socket, held))
 }
@@ -365,21 +361,14 @@
     async fn connect(address: SocketAddr, held: &HeldVersions) -> Result<Self, PeerError> {
         let stream = TcpStream::connect(address).await.map_err(|error| connection_ended(&error))?;
         stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
-        let config = Some(CborSocket::config());
-        let url = format!("ws://{address}/");
-        let (socket, _) = client_async_with_config(url, stream, config)
-            .await
-            .map_err(|error| connection_ended(&error))?;
-        let mut socket = CborSocket::new(socket);
+        let mut socket = CborSocket::connect(&format!("ws://{address}/"), Box::new(stream)).await?;
         socket.send(held).await?;
         Ok(Self { socket })
     }
 
     /// Receives the next message; fails if the relay sends none within `silence_timeout`.
     pub async fn next(&mut self, silence_timeout: Duration) -> Result<RelayMessage, PeerError> {
-        match timeout(silence_timeout, self.socket.receive()).await {
-            Ok(received) => received.map(|(message, _)| message),
-            Err(_) => Err(PeerError::TimedOut),
-        }
+        let (message, _) = self.socket.receive_within(silence_timeout).await?;
+        Ok(message)
     }
 }
--- a/components/peers/src/wire.rs
+++ b/components/peers/src/wire.rs
@@ -1,14 +1,18 @@
 //! CBOR messages over a WebSocket.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
-use tokio_tungstenite::WebSocketStream;
+use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+use crate::transfer::{MonitoredStream, PeerStream, TransferProgress, monitor};
 
 /// Maximum size of a message. All records of the largest planned fleet take about 2 MB.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
@@ -31,25 +35,58 @@
     /// The peer failed to prove that it knows the shared key.
     #[display("peer authentication failed: the peer key differs")]
     KeyMismatch,
-    /// The peer sent or accepted no message in time.
+    /// The peer did not open the connection, or accept a message, in time.
     #[display("peer timed out")]
     TimedOut,
+    /// The peer sent no complete message in time.
+    #[display("peer sent no message in time; {received_bytes} bytes received since the last one")]
+    ReceiveTimedOut {
+        /// Bytes received since the last complete message.
+        received_bytes: u64,
+    },
 }
 
 /// A WebSocket that carries CBOR messages.
 pub(crate) struct CborSocket {
-    socket: WebSocketStream<TcpStream>,
+    socket: WebSocketStream<MonitoredStream>,
+    received: TransferProgress,
+    /// Bytes received when the last message was complete.
+    complete_bytes: u64,
 }
 
 impl CborSocket {
-    pub(crate) fn new(socket: WebSocketStream<TcpStream>) -> Self {
-        Self { socket }
+    /// Opens a WebSocket to `url` on a connected stream.
+    pub(crate) async fn connect(url: &str, stream: Box<dyn PeerStream>) -> Result<Self, PeerError> {
+        let (stream, received, _) = monitor(stream);
+        let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
+            .await
+            .map_err(|error| connection_ended(&error))?;
+        Ok(Self { socket, received, complete_bytes: 0 })
+    }
+
+    /// Accepts a WebSocket on a connected stream.
+    pub(crate) async fn accept(stream: Box<dyn PeerStream>) -> Result<Self, PeerError> {
+        let (stream, received, _) = monitor(stream);
+        let socket = accept_async_with_config(stream, Some(socket_config()))
+            .await
+            .map_err(|error| connection_ended(&error))?;
+        Ok(Self { socket, received, complete_bytes: 0 })
     }
 
-    pub(crate) fn config() -> WebSocketConfig {
-        WebSocketConfig::default()
-            .max_message_size(Some(MAX_MESSAGE_BYTES))
-            .max_frame_size(Some(MAX_MESSAGE_BYTES))
+    /// Receives the next message, or fails after `receive_timeout`.
+    pub(crate) async fn receive_within<T: DeserializeOwned>(
+        &mut self,
+        receive_timeout: Duration,
+    ) -> Result<(T, u64), PeerError> {
+        match timeout(receive_timeout, self.receive()).await {
+            Ok(received) => received,
+            Err(_) => Err(PeerError::ReceiveTimedOut { received_bytes: self.pending_bytes() }),
+        }
+    }
+
+    /// Returns the bytes received since the last complete message.
+    fn pending_bytes(&self) -> u64 {
+        self.received.bytes() - self.complete_bytes
     }
 
     /// Sends a message and returns its encoded size in bytes.
@@ -73,7 +110,10 @@
                 None => return Err(connection_ended(&"closed")),
             };
             match message {
-                Message::Binary(bytes) => return decode(&bytes),
+                Message::Binary(bytes) => {
+                    self.complete_bytes = self.received.bytes();
+                    return decode(&bytes);
+                }
                 Message::Close(_) => return Err(connection_ended(&"closed")),
                 Message::Text(_) => return Err(malformed_message(&"unexpected text message")),
                 Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
@@ -82,6 +122,12 @@
     }
 }
 
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Bytes, PeerError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).map_err(|error| connection_ended(&error))?;
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -90,9 +90,16 @@
         body: Bytes,
         call_timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        match timeout(call_timeout, self.exchange(method, path, body)).await {
+        let received_bytes = AtomicU64::new(0);
+        let exchange = self.exchange(method, path, body, &received_bytes);
+        match timeout(call_timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(store_error(path, &format!("no response within {call_timeout:?}"))),
+            Err(_) => {
+                let bytes = received_bytes.load(Ordering::Relaxed);
+                let reason =
+                    format!("no complete response within {call_timeout:?}, {bytes} bytes received");
+                Err(store_error(path, &reason))
+            }
         }
     }
 
@@ -101,6 +108,7 @@
         method: Method,
         path: &str,
         body: Bytes,
+        received_bytes: &AtomicU64,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let mut sender = self.acquire_connection(path).await?;
         self.transferred_bytes
@@ -114,7 +122,12 @@
         let response =
             sender.send_request(request).await.map_err(|error| store_error(path, &error))?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
+        let body = response.into_body().map_frame(|frame| {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+            frame
+        });
+        let body = Limited::new(body, MAX_RESPONSE_BYTES)
             .collect()
             .await
             .map_err(|error| store_error(path, &error))?;
