--- a/components/testkit/src/fault_proxy.rs
+++ b/components/testkit/src/fault_proxy.rs
@@ -1,14 +1,22 @@
 //! A TCP proxy that injects faults: it drops all bytes or resets connections without notice, as a
-//! firewall or NAT gateway does after losing its connection table.
+//! firewall or NAT gateway does after losing its connection table, or limits the bandwidth.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Bytes that are read at once from an unlimited connection.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// Pause between two chunks of a connection with limited bandwidth.
+const CHUNK_PAUSE: Duration = Duration::from_millis(20);
 
 /// Forwards connections to one address until a fault is injected.
 pub struct FaultProxy {
@@ -20,6 +28,8 @@
     is_resetting: Arc<AtomicBool>,
     /// Whether new connections are accepted but not forwarded.
     is_partitioned: Arc<AtomicBool>,
+    /// Bytes per second in each direction of a connection; 0 for no limit.
+    bandwidth: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -40,6 +50,8 @@
         let (current_generation, partitioned) =
             (Arc::clone(&generation), Arc::clone(&is_partitioned));
         let resetting = Arc::clone(&is_resetting);
+        let bandwidth = Arc::new(AtomicU64::new(0));
+        let current_bandwidth = Arc::clone(&bandwidth);
         let task = tokio::spawn(async move {
             let mut blackholed = Vec::new();
             while let Ok((client, _)) = listener.accept().await {
@@ -52,6 +64,7 @@
                     generation_at_accept,
                     current_generation: Arc::clone(&current_generation),
                     is_resetting: Arc::clone(&resetting),
+                    bandwidth: Arc::clone(&current_bandwidth),
                 };
                 tokio::spawn(async move {
                     let Ok(server) = TcpStream::connect(target).await else {
@@ -68,7 +81,12 @@
                 });
             }
         });
-        Self { address, generation, is_resetting, is_partitioned, task }
+        Self { address, generation, is_resetting, is_partitioned, bandwidth, task }
+    }
+
+    /// Limits each direction of each connection to `bytes_per_second`.
+    pub fn limit_bandwidth(&self, bytes_per_second: u64) {
+        self.bandwidth.store(bytes_per_second, Ordering::SeqCst);
     }
 
     /// Drops all bytes on open and new connections.
@@ -102,6 +120,20 @@
     generation_at_accept: u64,
     current_generation: Arc<AtomicU64>,
     is_resetting: Arc<AtomicBool>,
+    bandwidth: Arc<AtomicU64>,
+}
+
+impl ConnectionState {
+    /// Returns the bytes that may be forwarded at once, and the pause after them.
+    fn chunk(&self) -> (usize, Duration) {
+        match self.bandwidth.load(Ordering::SeqCst) {
+            0 => (BUFFER_BYTES, Duration::ZERO),
+            bandwidth => {
+                let bytes = (bandwidth as f64 * CHUNK_PAUSE.as_secs_f64()) as usize;
+                (bytes.clamp(1, BUFFER_BYTES), CHUNK_PAUSE)
+            }
+        }
+    }
 }
 
 /// The proxy reset a connection.
@@ -113,9 +145,10 @@
     mut to: OwnedWriteHalf,
     state: ConnectionState,
 ) -> Result<(), ConnectionReset> {
-    let mut buffer = vec![0; 16 << 10];
+    let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let Ok(count) = from.read(&mut buffer).await else {
+        let (chunk_bytes, pause) = state.chunk();
+        let Ok(count) = from.read(&mut buffer[..chunk_bytes]).await else {
             return Ok(());
         };
         if state.current_generation.load(Ordering::SeqCst) != state.generation_at_accept {
@@ -130,5 +163,8 @@
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             return Ok(());
         }
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
     }
 }
