Stop a transfer when it is silent, not when it takes long

What callers saw: a configuration with 1,400 more routes was in force 1.9 to 2.9 s too late at entry VMs behind links of 10 Mbit/s, on grown deployments.

Cause: relay messages and responses of the store had a timeout for the whole transfer (0.8 s, 0.66 s). 821 KB take 0.66 s on a free link, so a VM broke off transfers that made progress and began again at their first byte, at the next relay; the discarded bytes filled its own link and those of the relays. The class of fault: a timeout on a whole transfer whose size has no bound, and a retry that discards what has arrived.

Change: a timeout counts from the last byte that was transferred: for messages of relays and peers in both directions, and for bodies of the store. Elsewhere: bodies of requests already have a timeout between chunks; responses of backend servers are bounded by the request's own deadline.

--- a/components/peers/src/connection.rs
+++ b/components/peers/src/connection.rs
@@ -5,19 +5,20 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::time::{interval, sleep, timeout};
 
 use model::{VmId, jittered};
 use observe::{DaemonMetrics, Logger, info, warn};
 
 use crate::handshake::PeerIdentity;
 use crate::message::{PeerHeartbeat, PeerMessage};
-use crate::wire::{CborSocket, PeerError, connection_ended};
+use crate::wire::{CborSocket, PeerError, connection_ended, encode};
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time without a message after which a connection is closed: two missed heartbeats plus a margin.
+/// Time without a received byte, or with a message of which no byte can be sent, after which a
+/// connection is closed: two missed heartbeats plus a margin.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Timeout for connecting and authenticating.
@@ -154,16 +155,14 @@
         return PeerError::ConnectionEnded { reason: "stopping".into() };
     }
     let mut heartbeat_ticks = interval(HEARTBEAT_INTERVAL);
-    let mut last_received_at = Instant::now();
     loop {
         let result = tokio::select! {
             received = socket.receive::<PeerMessage>() => {
-                last_received_at = Instant::now();
                 forward_message(received, vm, events, &outbox, metrics).await
             }
             Some(message) = outgoing.recv() => send_message(&mut socket, &message, metrics).await,
             _ = heartbeat_ticks.tick() => {
-                if last_received_at.elapsed() > PEER_TIMEOUT {
+                if socket.last_received_at().elapsed() > PEER_TIMEOUT {
                     return PeerError::TimedOut;
                 }
                 send_message(&mut socket, &PeerMessage::Heartbeat(heartbeat()), metrics).await
@@ -184,7 +183,7 @@
     let (outbox, mut outgoing) = mpsc::channel(OUTBOX_CAPACITY);
     loop {
         let result = tokio::select! {
-            received = socket.receive_within::<PeerMessage>(PEER_TIMEOUT) => {
+            received = socket.receive_unless_silent::<PeerMessage>(PEER_TIMEOUT) => {
                 forward_message(received, vm, events, &outbox, metrics).await
             }
             Some(message) = outgoing.recv() => send_message(&mut socket, &message, metrics).await,
@@ -213,9 +212,10 @@
     message: &PeerMessage,
     metrics: &DaemonMetrics,
 ) -> Result<(), PeerError> {
+    let encoded = encode(message)?;
+    let size = encoded.len() as u64;
     // A peer that stops reading must not block this connection's heartbeats forever.
-    let size =
-        timeout(PEER_TIMEOUT, socket.send(message)).await.map_err(|_| PeerError::TimedOut)??;
+    socket.send_encoded_unless_stalled(encoded, PEER_TIMEOUT).await?;
     metrics.peer_bytes.inc_by(size);
     Ok(())
 }
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -7,6 +7,7 @@
 //! violates a guarantee of the load balancer.
 
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use observe::{Logger, info, warn};
 use routes::{RouteTable, ServerChange, ServerRecord};
 
+use crate::transfer::PeerStream;
 use crate::wire::{CborSocket, PeerError, connection_ended, encode};
 
 /// Interval between two keep-alive messages of a relay.
@@ -29,9 +31,9 @@
 /// Timeout for connecting to a relay, and for receiving the first message of a subscriber.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout for sending a message to a subscriber, which may have vanished without closing the
-/// connection.
-const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a sent byte after which a subscriber counts as gone. It may have vanished without
+/// closing the connection.
+const SEND_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Capacity of the queue of messages to one subscriber. A subscriber that falls further behind is
 /// disconnected and subscribes again.
@@ -296,7 +298,7 @@
             Ok((stream, subscriber)) => {
                 let (hub, log) = (Arc::clone(&hub), log.clone());
                 tokio::spawn(async move {
-                    let Err(error) = serve_subscriber(stream, &hub).await;
+                    let Err(error) = serve_connection(stream, &hub).await;
                     info!(log, "relay: subscriber disconnected"; "subscriber" => %subscriber,
                         "reason" => %error);
                 });
@@ -309,16 +311,22 @@
     }
 }
 
-async fn serve_subscriber(
-    stream: TcpStream,
+async fn serve_connection(stream: TcpStream, hub: &RelayHub) -> Result<Infallible, PeerError> {
+    stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
+    serve_subscriber(stream, hub).await
+}
+
+/// Serves one subscriber until the connection ends.
+pub async fn serve_subscriber(
+    stream: impl PeerStream + 'static,
     hub: &RelayHub,
-) -> Result<std::convert::Infallible, PeerError> {
+) -> Result<Infallible, PeerError> {
     let (mut socket, held) = timeout(CONNECT_TIMEOUT, accept_subscriber(stream))
         .await
         .map_err(|_| PeerError::TimedOut)??;
     let (missing, mut updates) = hub.subscribe(&held)?;
     for message in missing {
-        send_encoded(&mut socket, message).await?;
+        socket.send_encoded_unless_stalled(message, SEND_STALL_TIMEOUT).await?;
     }
     let mut keep_alive_ticks = interval(KEEP_ALIVE_INTERVAL);
     loop {
@@ -329,21 +337,18 @@
                 None => continue,
             },
         };
-        send_encoded(&mut socket, message).await?;
+        socket.send_encoded_unless_stalled(message, SEND_STALL_TIMEOUT).await?;
     }
 }
 
-async fn accept_subscriber(stream: TcpStream) -> Result<(CborSocket, HeldVersions), PeerError> {
-    stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
+async fn accept_subscriber(
+    stream: impl PeerStream + 'static,
+) -> Result<(CborSocket, HeldVersions), PeerError> {
     let mut socket = CborSocket::accept(Box::new(stream)).await?;
     let (held, _) = socket.receive().await?;
     Ok((socket, held))
 }
 
-async fn send_encoded(socket: &mut CborSocket, message: Bytes) -> Result<(), PeerError> {
-    timeout(SEND_TIMEOUT, socket.send_encoded(message)).await.map_err(|_| PeerError::TimedOut)?
-}
-
 /// A subscription to a relay.
 pub struct RelaySubscription {
     socket: CborSocket,
@@ -361,14 +366,23 @@
     async fn connect(address: SocketAddr, held: &HeldVersions) -> Result<Self, PeerError> {
         let stream = TcpStream::connect(address).await.map_err(|error| connection_ended(&error))?;
         stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
-        let mut socket = CborSocket::connect(&format!("ws://{address}/"), Box::new(stream)).await?;
+        Self::start(stream, &address.to_string(), held).await
+    }
+
+    /// Subscribes on a connected stream to the relay `host`.
+    pub async fn start(
+        stream: impl PeerStream + 'static,
+        host: &str,
+        held: &HeldVersions,
+    ) -> Result<Self, PeerError> {
+        let mut socket = CborSocket::connect(&format!("ws://{host}/"), Box::new(stream)).await?;
         socket.send(held).await?;
         Ok(Self { socket })
     }
 
-    /// Receives the next message; fails if the relay sends none within `silence_timeout`.
+    /// Receives the next message; fails if the relay sends no byte for `silence_timeout`.
     pub async fn next(&mut self, silence_timeout: Duration) -> Result<RelayMessage, PeerError> {
-        let (message, _) = self.socket.receive_within(silence_timeout).await?;
+        let (message, _) = self.socket.receive_unless_silent(silence_timeout).await?;
         Ok(message)
     }
 }
--- a/components/peers/src/transfer.rs
+++ b/components/peers/src/transfer.rs
@@ -1,13 +1,19 @@
 //! Progress of the transfers on a connection.
+//!
+//! A message may be so large, or a link so slow, that a message takes longer than any acceptable
+//! silence. So a transfer is stopped when no byte has been transferred for some time, whatever the
+//! time since its first byte: a retry would have to start again from there.
 
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::io::{InspectReader, InspectWriter};
 
 /// A byte stream to a peer.
-pub(crate) trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {}
+pub trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {}
 
 impl<S: AsyncRead + AsyncWrite + Send + Unpin> PeerStream for S {}
 
@@ -41,6 +47,30 @@
         self.state().bytes
     }
 
+    /// Returns the time of the last transferred byte.
+    pub(crate) fn last_transfer_at(&self) -> Instant {
+        self.state().last_transfer_at
+    }
+
+    /// Waits for a transfer. Returns `None` if no byte is transferred for `stall_timeout`.
+    pub(crate) async fn wait_unless_stalled<T>(
+        &self,
+        transfer: impl Future<Output = T>,
+        stall_timeout: Duration,
+    ) -> Option<T> {
+        let mut transfer = pin!(transfer);
+        let mut active_at = Instant::now();
+        loop {
+            if let Ok(output) = timeout_at(active_at + stall_timeout, &mut transfer).await {
+                return Some(output);
+            }
+            if self.last_transfer_at() <= active_at {
+                return None;
+            }
+            active_at = self.last_transfer_at();
+        }
+    }
+
     fn callback(&self) -> ProgressCallback {
         let progress = self.clone();
         Box::new(move |bytes| {
--- a/components/peers/src/wire.rs
+++ b/components/peers/src/wire.rs
@@ -7,7 +7,7 @@
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
+use tokio::time::Instant;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
@@ -35,12 +35,12 @@
     /// The peer failed to prove that it knows the shared key.
     #[display("peer authentication failed: the peer key differs")]
     KeyMismatch,
-    /// The peer did not open the connection, or accept a message, in time.
+    /// The peer did not open the connection in time, or accepted no byte of a message for too long.
     #[display("peer timed out")]
     TimedOut,
-    /// The peer sent no complete message in time.
-    #[display("peer sent no message in time; {received_bytes} bytes received since the last one")]
-    ReceiveTimedOut {
+    /// The peer sent no byte for too long.
+    #[display("peer is silent; {received_bytes} bytes received since its last message")]
+    Silent {
         /// Bytes received since the last complete message.
         received_bytes: u64,
     },
@@ -50,6 +50,7 @@
 pub(crate) struct CborSocket {
     socket: WebSocketStream<MonitoredStream>,
     received: TransferProgress,
+    sent: TransferProgress,
     /// Bytes received when the last message was complete.
     complete_bytes: u64,
 }
@@ -57,33 +58,51 @@
 impl CborSocket {
     /// Opens a WebSocket to `url` on a connected stream.
     pub(crate) async fn connect(url: &str, stream: Box<dyn PeerStream>) -> Result<Self, PeerError> {
-        let (stream, received, _) = monitor(stream);
+        let (stream, received, sent) = monitor(stream);
         let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
             .await
             .map_err(|error| connection_ended(&error))?;
-        Ok(Self { socket, received, complete_bytes: 0 })
+        Ok(Self { socket, received, sent, complete_bytes: 0 })
     }
 
     /// Accepts a WebSocket on a connected stream.
     pub(crate) async fn accept(stream: Box<dyn PeerStream>) -> Result<Self, PeerError> {
-        let (stream, received, _) = monitor(stream);
+        let (stream, received, sent) = monitor(stream);
         let socket = accept_async_with_config(stream, Some(socket_config()))
             .await
             .map_err(|error| connection_ended(&error))?;
-        Ok(Self { socket, received, complete_bytes: 0 })
+        Ok(Self { socket, received, sent, complete_bytes: 0 })
     }
 
-    /// Receives the next message, or fails after `receive_timeout`.
-    pub(crate) async fn receive_within<T: DeserializeOwned>(
+    /// Receives the next message and its encoded size in bytes; fails if the peer sends no byte for
+    /// `silence_timeout`.
+    pub(crate) async fn receive_unless_silent<T: DeserializeOwned>(
         &mut self,
-        receive_timeout: Duration,
+        silence_timeout: Duration,
     ) -> Result<(T, u64), PeerError> {
-        match timeout(receive_timeout, self.receive()).await {
-            Ok(received) => received,
-            Err(_) => Err(PeerError::ReceiveTimedOut { received_bytes: self.pending_bytes() }),
+        let progress = self.received.clone();
+        match progress.wait_unless_stalled(self.receive(), silence_timeout).await {
+            Some(received) => received,
+            None => Err(PeerError::Silent { received_bytes: self.pending_bytes() }),
         }
     }
 
+    /// Sends an encoded message; fails if the peer accepts no byte for `stall_timeout`.
+    pub(crate) async fn send_encoded_unless_stalled(
+        &mut self,
+        bytes: Bytes,
+        stall_timeout: Duration,
+    ) -> Result<(), PeerError> {
+        let progress = self.sent.clone();
+        let sent = progress.wait_unless_stalled(self.send_encoded(bytes), stall_timeout).await;
+        sent.unwrap_or(Err(PeerError::TimedOut))
+    }
+
+    /// Returns the time at which the last byte was received.
+    pub(crate) fn last_received_at(&self) -> Instant {
+        self.received.last_transfer_at()
+    }
+
     /// Returns the bytes received since the last complete message.
     fn pending_bytes(&self) -> u64 {
         self.received.bytes() - self.complete_bytes
@@ -97,8 +116,7 @@
         Ok(size)
     }
 
-    /// Sends a message that is already encoded, so that one encoding serves many receivers.
-    pub(crate) async fn send_encoded(&mut self, bytes: Bytes) -> Result<(), PeerError> {
+    async fn send_encoded(&mut self, bytes: Bytes) -> Result<(), PeerError> {
         self.socket.send(Message::binary(bytes)).await.map_err(|error| connection_ended(&error))
     }
 
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -1,15 +1,18 @@
 //! A small HTTP client whose calls have a timeout and make at most one attempt.
+//!
+//! The timeout applies to the head of a response, and to each silence within its body.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -57,7 +60,8 @@
 }
 
 impl HttpClient {
-    /// Creates a client for `address` whose calls time out after `call_timeout`.
+    /// Creates a client for `address` whose calls time out when the response does not start, or does
+    /// not continue, for `call_timeout`.
     pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
         Self {
             address,
@@ -82,34 +86,32 @@
         self.send_with_timeout(method, path, body, self.call_timeout).await
     }
 
-    /// Sends a request with `call_timeout` in place of the client's own timeout.
+    /// Sends a request with `head_timeout` in place of the client's own timeout, until the head of
+    /// the response arrives.
     pub async fn send_with_timeout(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-        call_timeout: Duration,
+        head_timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let received_bytes = AtomicU64::new(0);
-        let exchange = self.exchange(method, path, body, &received_bytes);
-        match timeout(call_timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => {
-                let bytes = received_bytes.load(Ordering::Relaxed);
-                let reason =
-                    format!("no complete response within {call_timeout:?}, {bytes} bytes received");
-                Err(store_error(path, &reason))
-            }
-        }
+        let sent = timeout(head_timeout, self.send_request(method, path, body)).await;
+        let (sender, response) =
+            sent.map_err(|_| store_error(path, &format!("no response within {head_timeout:?}")))??;
+        let status = response.status();
+        let body = self.read_body(path, response.into_body()).await?;
+        self.push_idle(sender);
+        self.transferred_bytes
+            .fetch_add(ESTIMATED_HEAD_BYTES + body.len() as u64, Ordering::Relaxed);
+        Ok((status, body))
     }
 
-    async fn exchange(
+    async fn send_request(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-        received_bytes: &AtomicU64,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), StoreError> {
         let mut sender = self.acquire_connection(path).await?;
         self.transferred_bytes
             .fetch_add(ESTIMATED_HEAD_BYTES + body.len() as u64, Ordering::Relaxed);
@@ -121,21 +123,27 @@
             .map_err(|error| store_error(path, &error))?;
         let response =
             sender.send_request(request).await.map_err(|error| store_error(path, &error))?;
-        let status = response.status();
-        let body = response.into_body().map_frame(|frame| {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-            frame
-        });
-        let body = Limited::new(body, MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|error| store_error(path, &error))?;
-        self.push_idle(sender);
-        let body = body.to_bytes();
-        self.transferred_bytes
-            .fetch_add(ESTIMATED_HEAD_BYTES + body.len() as u64, Ordering::Relaxed);
-        Ok((status, body))
+        Ok((sender, response))
+    }
+
+    /// Reads a whole response body. A body that keeps arriving may take any time: on a slow link a
+    /// large one would never fit into the timeout of a call.
+    async fn read_body(&self, path: &str, body: Incoming) -> Result<Bytes, StoreError> {
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut received = BytesMut::new();
+        loop {
+            let frame = timeout(self.call_timeout, body.frame()).await.map_err(|_| {
+                let (silence, bytes) = (self.call_timeout, received.len());
+                store_error(path, &format!("silent for {silence:?} after {bytes} bytes"))
+            })?;
+            let Some(frame) = frame else {
+                return Ok(received.freeze());
+            };
+            let frame = frame.map_err(|error| store_error(path, &error))?;
+            if let Some(data) = frame.data_ref() {
+                received.extend_from_slice(data);
+            }
+        }
     }
 
     async fn acquire_connection(&self, path: &str) -> Result<SendRequest<Full<Bytes>>, StoreError> {
