Send no keep-alive while an update is queued for the subscriber

What callers could see: a VM takes its configuration or list of servers for confirmed up to 1.3 s longer than it is, and reads the store that much later.

Cause: a relay that has sent a message chooses at random between the next update and a keep-alive that is due, which tells the age of the newest state.

Change: updates go first, and a keep-alive is only made while none is queued, under the lock under which updates are queued.

--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -252,11 +252,19 @@
         state.members.peak(now)
     }
 
-    /// Returns a keep-alive message; `None` until the store has confirmed both the configuration
-    /// and the server list.
-    fn keep_alive(&self, now: Instant) -> Option<RelayMessage> {
+    /// Returns a keep-alive message for a subscriber; `None` until the store has confirmed both the
+    /// configuration and the server list, and while updates are queued for the subscriber: it would
+    /// take the state without them for confirmed.
+    fn keep_alive(
+        &self,
+        updates: &broadcast::Receiver<EncodedMessage>,
+        now: Instant,
+    ) -> Option<RelayMessage> {
         let members = self.member_count(now);
         let state = self.state();
+        if !updates.is_empty() {
+            return None;
+        }
         let oldest_confirmed_at = state.config_confirmed_at?.min(state.servers_confirmed_at?);
         let age_ms = now.saturating_duration_since(oldest_confirmed_at).as_millis() as u64;
         Some(RelayMessage::KeepAlive {
@@ -335,8 +343,9 @@
     let mut keep_alive_ticks = interval(KEEP_ALIVE_INTERVAL);
     loop {
         let message = tokio::select! {
+            biased;
             message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
-            _ = keep_alive_ticks.tick() => match hub.keep_alive(Instant::now()) {
+            _ = keep_alive_ticks.tick() => match hub.keep_alive(&updates, Instant::now()) {
                 Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
                 None => continue,
             },
