--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -15,6 +15,8 @@
     request_seconds: Histogram,
     /// Probes sent to backend servers.
     pub probes: IntCounter,
+    /// Probes whose response named a limit of the server.
+    pub probe_limits: IntCounter,
     /// Requests whose caller disconnected before the response.
     pub caller_disconnects: IntCounter,
     /// Calls to the platform's store.
@@ -53,6 +55,10 @@
         let gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         Self {
             probes: counter("mustardrail_probes_total", "Probes sent."),
+            probe_limits: counter(
+                "mustardrail_probe_limits_total",
+                "Probes whose response named a limit of the server.",
+            ),
             caller_disconnects: counter("mustardrail_callers_left_total", "Callers that left."),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout};
 
 use balance::{CONNECT_TIMEOUT, SampleOutcome, ServerLoad};
-use model::ServerId;
+use model::{RequestRate, ServerId};
 use routes::WireInterface;
 
 use crate::body::BackendRequestBody;
@@ -77,6 +77,8 @@
     pub(crate) http: Response<CallerResponseBody>,
     pub(crate) server: ServerId,
     pub(crate) report_age: Option<Duration>,
+    /// Limit that the response names.
+    pub(crate) limit: Option<RequestRate>,
     /// Size of the body; `None` if it is streamed without a known length.
     pub(crate) body_bytes: Option<u64>,
 }
@@ -211,7 +213,7 @@
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::Unverified);
     }
-    read_response(lease, exchange, report).await
+    read_response(lease, context, exchange, report).await
 }
 
 async fn finish_not_run(
@@ -242,6 +244,7 @@
 /// longer one.
 async fn read_response(
     lease: ServerLease,
+    context: &AttemptContext,
     exchange: Exchange,
     report: Option<ServerLoad>,
 ) -> AttemptOutcome {
@@ -253,6 +256,7 @@
     };
     let keep_alive = keep_alive_timeout(&parts.headers);
     let report_age = lease.report_age;
+    let limit = (context.wire.read_limit)(&parts.headers);
     remove_hop_by_hop(&mut parts.headers);
     let Ok((bytes, is_complete)) = buffer_body(&mut incoming).await else {
         lease.finish(SampleOutcome::Failed, report);
@@ -275,7 +279,7 @@
             StreamCompletion { lease, connection, outcome, report },
         )
     };
-    AttemptOutcome::Responded(ServerResponse { http, server, report_age, body_bytes })
+    AttemptOutcome::Responded(ServerResponse { http, server, report_age, limit, body_bytes })
 }
 
 /// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter. Returns
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -233,6 +233,7 @@
         match result {
             Ok(response) => info!(self.log, "request: answered"; fields,
                 "status" => response.http.status().as_u16(), "server" => response.server.as_str(),
+                "server_limit" => response.limit.map(|limit| limit.0),
                 "report_age_ms" => response.report_age.map(|age| age.as_millis() as u64)),
             Err(refusal) => info!(self.log, "request: refused"; fields, "reason" => %refusal,
                 "server" => progress.last_server.as_ref().map(ServerId::as_str),
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -13,7 +13,7 @@
     MAX_PROBE_ROUNDS, PROBES_PER_ROUND, PlacementEstimate, RequestShape, SampleOutcome,
     ServerTicket,
 };
-use observe::HostedMetrics;
+use observe::{HostedMetrics, IntCounter};
 use routes::WireInterface;
 
 use crate::body::BackendRequestBody;
@@ -94,7 +94,8 @@
         if !context.service.group().has_fresh_report(*ticket, FRESH_REPORT_AGE, now) {
             context.metrics.probes.inc();
             let (service, wire) = (Arc::clone(context.service), Arc::clone(context.wire));
-            probes.spawn(probe_server(service, wire, *ticket, path.into()));
+            let limits = context.metrics.probe_limits.clone();
+            probes.spawn(probe_server(service, wire, limits, *ticket, path.into()));
         }
     }
     let probe_deadline = now + context.service.group().probe_wait();
@@ -117,10 +118,11 @@
 async fn probe_server(
     service: Arc<HostedService>,
     wire: Arc<WireInterface>,
+    limits: IntCounter,
     ticket: ServerTicket,
     path: Box<str>,
 ) {
-    let result = timeout(PROBE_TIMEOUT, send_probe(&service, &wire, ticket, &path)).await;
+    let result = timeout(PROBE_TIMEOUT, send_probe(&service, &wire, &limits, ticket, &path)).await;
     if !matches!(result, Ok(Some(()))) {
         let now = Instant::now();
         service.group().record_outcome(ticket, SampleOutcome::Unreachable, now);
@@ -131,6 +133,7 @@
 async fn send_probe(
     service: &HostedService,
     wire: &WireInterface,
+    limits: &IntCounter,
     ticket: ServerTicket,
     path: &str,
 ) -> Option<()> {
@@ -159,6 +162,9 @@
         Some(load) => service.group().apply_report(ticket, load, Instant::now()),
         None => service.group().count_check_without_report(),
     }
+    if (wire.read_limit)(headers).is_some() {
+        limits.inc();
+    }
     let keep_alive = keep_alive_timeout(headers);
     response.into_body().collect().await.ok()?;
     return_connection(service, connection, keep_alive);
--- a/components/routes/src/interface.rs
+++ b/components/routes/src/interface.rs
@@ -5,6 +5,7 @@
 use hyper::header::HeaderName;
 
 use balance::ServerLoad;
+use model::RequestRate;
 
 /// Names of the header fields that callers, entry VMs and backend servers use.
 #[derive(Debug, Clone)]
@@ -29,6 +30,9 @@
     pub headers: HeaderNames,
     /// Reads the load figures from the headers of a response, if there are any.
     pub read_load: fn(&HeaderMap) -> Option<ServerLoad>,
+    /// Reads the rate of requests that the server accepts from all entry VMs together, if the
+    /// response names one.
+    pub read_limit: fn(&HeaderMap) -> Option<RequestRate>,
     /// Whether the status and headers of a response state that the backend server did not start to
     /// run the request.
     pub is_not_run: fn(u16, &HeaderMap) -> bool,
