--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, sleep};
 
 use balance::ServerLoad;
-use platform::{wire_interface, write_load_header, write_not_run_header};
+use model::RequestRate;
+use platform::{wire_interface, write_limit_header, write_load_header, write_not_run_header};
 use routes::{ServerRecord, ServiceName, WireInterface};
 
 use crate::backend::{TRUNCATED_BYTES, truncated_response};
@@ -85,6 +86,8 @@
     id: Box<str>,
     wire: WireInterface,
     behaviour: Mutex<HostedBehaviour>,
+    /// Limit that its responses name.
+    limit: Mutex<Option<RequestRate>>,
     /// Status of health checks.
     health_status: Mutex<StatusCode>,
     runs: Mutex<Vec<HostedRun>>,
@@ -98,6 +101,7 @@
             id: id.into(),
             wire: wire_interface(),
             behaviour: Mutex::new(behaviour),
+            limit: Mutex::default(),
             health_status: Mutex::new(StatusCode::OK),
             runs: Mutex::default(),
             request_count: AtomicU64::new(0),
@@ -127,6 +131,11 @@
         *self.state.behaviour.lock().expect("behaviour lock is never poisoned") = behaviour;
     }
 
+    /// Names a limit in all responses, or none.
+    pub fn set_limit(&self, limit: Option<RequestRate>) {
+        *self.state.limit.lock().expect("limit lock is never poisoned") = limit;
+    }
+
     /// Changes the status of health checks, regardless of how requests are handled.
     pub fn set_health(&self, status: StatusCode) {
         *self.state.health_status.lock().expect("health lock is never poisoned") = status;
@@ -263,6 +272,9 @@
         *response.status_mut() = status;
         let load = ServerLoad { running: 0, waiting: 0, slots: SLOTS, slowness: 1.0 };
         write_load_header(response.headers_mut(), load);
+        if let Some(limit) = *self.limit.lock().expect("limit lock is never poisoned") {
+            write_limit_header(response.headers_mut(), limit);
+        }
         let id = HeaderValue::from_str(&self.id).expect("names are valid header values");
         response.headers_mut().insert(&self.wire.headers.responding_server, id);
         response
