Let entry VMs take turns at a server that names a limit

Cause: each VM chose its moments at random, so that only part of a limit could be promised without a cluster of moments above it, and a moment was lost after 0.5 s.

Change: each relay assigns its subscribers turns on its own clock, in its keep-alive messages, and has a part of each limit; a VM sends at most one request in its turn. So a relay's VMs send at most one request a turn, however many they are, and three quarters of a turn are usable. A VM without a relay keeps its last turn. Messages of an older relay assign none, and an assumed turn of 50 stays.

Ruled out: more of the limit at random moments (121 VMs, limit 1: one window in a thousand would have 12 requests, by the binomial distribution).

Measured: simulated fleets of 1 to 600 VMs keep every window and use more than half of the limit, which the test now demands (a quarter before); turns that change every 5 s keep it too. Four daemons on one relay keep it together.

--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -17,9 +17,9 @@
 pub use placement::{
     AdmissionDecision, CONNECT_TIMEOUT, HEDGE_RETRY_INTERVAL, LimitResponse, LoadCurve,
     MAX_PROBE_ROUNDS, PROBES_PER_ROUND, PlacementEstimate, PlacementGroup, PlacementOptions,
-    PlacementServer, RequestShape, RequestTimes, ServerLoad, SpeedPersistence, StartedRequest,
-    ZoneLatencies, admit, hedge_delay, limited_retry_delay, long_retry_delay, queue_poll_interval,
-    short_retry_delay,
+    PlacementServer, RequestShape, RequestTimes, SendTurns, ServerLoad, SpeedPersistence,
+    StartedRequest, ZoneLatencies, admit, hedge_delay, limited_retry_delay, long_retry_delay,
+    queue_poll_interval, short_retry_delay,
 };
 pub use server::{LoadReport, ServerEndpoint};
 pub use subset::{choose_preferred, choose_subset};
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -11,9 +11,9 @@
 use model::{FastMap, ProbeRate, RequestRate, ServerId, ZoneName};
 
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
-use crate::placement::pacer::{RequestPacer, bounded_period};
 use crate::placement::persistence::decayed;
-use crate::placement::server::{NamedLimit, PlacementServer, ServerLoad, ServerState};
+use crate::placement::server::{PlacementServer, ServerLoad, ServerState};
+use crate::placement::turns::{NamedLimit, SendTurns, check_interval};
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
 
@@ -119,8 +119,8 @@
     has_reports: bool,
     /// Health checks whose response contained no load report.
     checks_without_report: u32,
-    /// Fraction of a server's limit that this entry VM may use.
-    limit_share: f64,
+    /// This entry VM's turns at servers that name a limit; `None` if it shares no limit.
+    turns: Option<SendTurns>,
 }
 
 impl PlacementGroup {
@@ -137,18 +137,14 @@
             occupancy: 0.0,
             has_reports: false,
             checks_without_report: 0,
-            limit_share: 1.0,
+            turns: None,
         }
     }
 
-    /// Sets the fraction of a server's limit that this entry VM may use; 1 by default.
-    pub fn set_limit_share(&mut self, share: f64, now: Instant) {
-        self.limit_share = share;
-        for (_, state) in &mut self.servers {
-            if let Some(limit) = &mut state.limit {
-                limit.pacer.update(limit.rate, share, now);
-            }
-        }
+    /// Sets this entry VM's turns at servers that name a limit. Without turns, it uses all of a
+    /// limit.
+    pub fn set_turns(&mut self, turns: SendTurns) {
+        self.turns = Some(turns);
     }
 
     /// Records the limit that a response named, or that it named none. Returns whether the server's
@@ -158,9 +154,7 @@
         ticket: ServerTicket,
         named: LimitResponse,
         now: Instant,
-        random: &mut impl Rng,
     ) -> bool {
-        let share = self.limit_share;
         let Some(state) = self.state_mut(ticket) else {
             return false;
         };
@@ -168,14 +162,11 @@
             (Some(rate), Some(limit)) => {
                 let has_changed = rate != limit.rate;
                 limit.rate = rate;
-                limit.pacer.update(rate, share, now);
                 limit.is_named_by_probes |= named.is_probe;
                 has_changed
             }
             (Some(rate), None) => {
-                let pacer = RequestPacer::new(rate, share, now, random);
-                let is_named_by_probes = named.is_probe;
-                state.limit = Some(NamedLimit { rate, pacer, is_named_by_probes, checked_at: now });
+                state.limit = Some(NamedLimit::new(&state.listed.id, rate, named.is_probe, now));
                 true
             }
             (None, Some(limit)) if limit.is_ended_by(named) => {
@@ -188,7 +179,7 @@
 
     /// Returns a server whose limit should be checked with a probe now, if any.
     pub fn limit_check(&mut self, now: Instant) -> Option<ServerTicket> {
-        let interval = bounded_period(LIMIT_CHECK_RATE.0 * self.limit_share);
+        let interval = check_interval(self.turns.as_ref(), LIMIT_CHECK_RATE);
         self.servers.iter_mut().enumerate().find_map(|(index, (serial, state))| {
             let limit = state.limit.as_mut().filter(|limit| now >= limit.checked_at + interval)?;
             limit.checked_at = now;
@@ -199,7 +190,7 @@
     /// Records that a request is being sent to a server, which counts against its limit.
     pub fn record_sent(&mut self, ticket: ServerTicket, now: Instant) {
         if let Some(limit) = self.state_mut(ticket).and_then(|state| state.limit.as_mut()) {
-            limit.pacer.record_request(now);
+            limit.record_sent(now);
         }
     }
 
@@ -207,7 +198,9 @@
     /// names one.
     pub fn next_limited_request(&self, now: Instant) -> Option<Instant> {
         let staying = self.servers.iter().filter(|(_, state)| !state.listed.is_leaving);
-        staying.filter_map(|(_, state)| Some(state.limit?.pacer.next_moment(now))).min()
+        let waits =
+            staying.filter_map(|(_, state)| Some(state.limit?.wait(self.turns.as_ref(), now)));
+        waits.min().map(|wait| now + wait)
     }
 
     /// Returns the number of servers that name a limit.
@@ -318,8 +311,9 @@
             };
             let (serial, state) = &self.servers[index];
             let ticket = ServerTicket { index, serial: *serial };
-            let is_skipped =
-                !state.accepts_request(now) || excluded.contains(&ticket) || !is_eligible(state);
+            let is_skipped = !state.accepts_request(self.turns.as_ref(), now)
+                || excluded.contains(&ticket)
+                || !is_eligible(state);
             if is_skipped || costs.iter().any(|(_, other)| *other == ticket) {
                 continue;
             }
@@ -348,7 +342,9 @@
         tickets
             .iter()
             .filter_map(|ticket| {
-                let state = self.state(*ticket).filter(|state| state.accepts_request(now))?;
+                let state = self
+                    .state(*ticket)
+                    .filter(|state| state.accepts_request(self.turns.as_ref(), now))?;
                 Some((*ticket, self.estimate_state(state, shape, now)))
             })
             .min_by(|(_, one), (_, other)| one.cost_seconds.total_cmp(&other.cost_seconds))
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -10,9 +10,9 @@
 mod estimate;
 mod group;
 mod load_curve;
-mod pacer;
 mod persistence;
 mod server;
+mod turns;
 mod zone_latency;
 
 pub use admission::{
@@ -25,4 +25,5 @@
 pub use load_curve::LoadCurve;
 pub use persistence::SpeedPersistence;
 pub use server::{PlacementServer, ServerLoad};
+pub use turns::SendTurns;
 pub use zone_latency::ZoneLatencies;
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -5,11 +5,10 @@
 
 use tokio::time::Instant;
 
-use model::{RequestRate, ServerId, ZoneName};
+use model::{ServerId, ZoneName};
 
 use crate::eject::FailureHistory;
-use crate::placement::group::LimitResponse;
-use crate::placement::pacer::RequestPacer;
+use crate::placement::turns::{NamedLimit, SendTurns};
 
 /// Weight of the newest report in the moving average of a server's slowness.
 const NEWEST_REPORT_WEIGHT: f64 = 0.1;
@@ -63,24 +62,6 @@
     pub(crate) received_at: Instant,
 }
 
-/// A limit that a server named.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct NamedLimit {
-    pub(crate) rate: RequestRate,
-    pub(crate) pacer: RequestPacer,
-    /// Whether the response to a probe named it. Then one that doesn't ends it.
-    pub(crate) is_named_by_probes: bool,
-    /// Time of the last probe or request that was sent to learn whether the limit still holds.
-    pub(crate) checked_at: Instant,
-}
-
-impl NamedLimit {
-    /// Whether a response that names no limit ends this one.
-    pub(crate) fn is_ended_by(&self, response: LimitResponse) -> bool {
-        response.sent_at > self.pacer.named_at() && (self.is_named_by_probes || !response.is_probe)
-    }
-}
-
 /// State of one server.
 #[derive(Debug)]
 pub(crate) struct ServerState {
@@ -111,8 +92,9 @@
     }
 
     /// Whether the server may get a new request, by its list entry and the limit that it named.
-    pub(crate) fn accepts_request(&self, now: Instant) -> bool {
-        !self.listed.is_leaving && self.limit.as_ref().is_none_or(|limit| limit.pacer.is_open(now))
+    pub(crate) fn accepts_request(&self, turns: Option<&SendTurns>, now: Instant) -> bool {
+        !self.listed.is_leaving
+            && self.limit.as_ref().is_none_or(|limit| limit.wait(turns, now).is_zero())
     }
 
     /// Applies a newer list entry if it is of the same incarnation; returns whether it is.
--- /dev/null
+++ b/components/balance/src/placement/turns.rs
@@ -0,0 +1,148 @@
+//! Keeps the requests of all entry VMs to a server within the limit that the server named.
+//!
+//! Load pattern: a server in need names a rate that all entry VMs together must keep, and each VM
+//! could send it only one request in many seconds. Independent token buckets would let the whole
+//! fleet send at the same moment. Instead the VMs take turns: the limit is divided into equal parts,
+//! one for each relay, and the VMs of a relay share its part one after the other.
+
+use std::hash::Hasher;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use tokio::time::Instant;
+
+use model::{ProbeRate, RequestRate, ServerId};
+
+use crate::placement::group::LimitResponse;
+
+/// Fraction of a limit that is divided. The rest covers VMs that change their relay.
+const DIVIDED_FRACTION: f64 = 0.9;
+
+/// Fraction of a turn in which its request may be sent, so that requests of two successive turns
+/// are some time apart.
+const USABLE_FRACTION: f64 = 0.75;
+
+/// Bounds of periods.
+const MIN_PERIOD: Duration = Duration::from_millis(1);
+const MAX_PERIOD: Duration = Duration::from_secs(3_600);
+
+/// Number of turns assumed by a VM that has had no relay yet.
+const ASSUMED_TURNS: u32 = 50;
+
+/// An entry VM's turns to send requests to servers that name a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SendTurns {
+    /// Number of equal parts into which each limit is divided. Invariant: at least 1.
+    parts: u32,
+    /// Number of turns in a round, one for each VM that shares the part. Invariant: at least 1.
+    count: u32,
+    /// This VM's turn in each round. Invariant: less than `count`.
+    index: u32,
+    /// Reading of the clock that the VMs of the part share.
+    clock: Duration,
+    /// When the clock was read.
+    read_at: Instant,
+}
+
+impl SendTurns {
+    /// Creates the turns of a VM. Returns `None` if they violate an invariant.
+    pub fn new(
+        parts: usize,
+        count: u32,
+        index: u32,
+        clock: Duration,
+        read_at: Instant,
+    ) -> Option<Self> {
+        let parts = u32::try_from(parts).ok().filter(|parts| *parts > 0)?;
+        (index < count).then_some(Self { parts, count, index, clock, read_at })
+    }
+
+    /// Returns the turns of a VM that has had no relay yet. `position` is a random number from 0
+    /// to 1.
+    pub fn assumed(parts: usize, position: f64, now: Instant) -> Self {
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX).max(1);
+        let index = (position * f64::from(ASSUMED_TURNS)) as u32;
+        let index = index.min(ASSUMED_TURNS - 1);
+        Self { parts, count: ASSUMED_TURNS, index, clock: Duration::ZERO, read_at: now }
+    }
+
+    /// Returns the length of a turn at a server that names `limit`.
+    fn turn_length(&self, limit: RequestRate) -> Duration {
+        bounded_period(limit.0 * DIVIDED_FRACTION / f64::from(self.parts))
+    }
+
+    fn clock_at(&self, now: Instant) -> Duration {
+        self.clock + now.saturating_duration_since(self.read_at)
+    }
+}
+
+/// Returns the interval at which this VM probes a server if the whole fleet does so at `rate`.
+pub(crate) fn check_interval(turns: Option<&SendTurns>, rate: ProbeRate) -> Duration {
+    let vms = turns.map_or(1.0, |turns| f64::from(turns.parts) * f64::from(turns.count));
+    bounded_period(rate.0 / vms)
+}
+
+fn bounded_period(rate: f64) -> Duration {
+    let period = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_PERIOD);
+    period.clamp(MIN_PERIOD, MAX_PERIOD)
+}
+
+/// A limit that a server named.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NamedLimit {
+    pub(crate) rate: RequestRate,
+    /// When a response named it first.
+    named_at: Instant,
+    /// Whether the response to a probe named it. Then one that doesn't ends it.
+    pub(crate) is_named_by_probes: bool,
+    /// When the last request was sent.
+    sent_at: Option<Instant>,
+    /// When a probe was last sent to learn whether the limit still holds.
+    pub(crate) checked_at: Instant,
+    /// Start of the rounds at this server, as a fraction of a round. It differs between servers, so
+    /// that a VM's turns at several servers are spread.
+    round_offset: f64,
+}
+
+impl NamedLimit {
+    pub(crate) fn new(
+        server: &ServerId,
+        rate: RequestRate,
+        is_named_by_probes: bool,
+        now: Instant,
+    ) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(server.as_str().as_bytes());
+        let round_offset = hasher.finish() as f64 / u64::MAX as f64;
+        let (named_at, checked_at) = (now, now);
+        Self { rate, named_at, is_named_by_probes, sent_at: None, checked_at, round_offset }
+    }
+
+    /// Whether a response that names no limit ends this one.
+    pub(crate) fn is_ended_by(&self, response: LimitResponse) -> bool {
+        response.sent_at > self.named_at && (self.is_named_by_probes || !response.is_probe)
+    }
+
+    /// Returns how long to wait until a request may be sent; zero if it may be sent now.
+    pub(crate) fn wait(&self, turns: Option<&SendTurns>, now: Instant) -> Duration {
+        let Some(turns) = turns else {
+            let since_last = now.saturating_duration_since(self.sent_at.unwrap_or(self.named_at));
+            return bounded_period(self.rate.0 * DIVIDED_FRACTION).saturating_sub(since_last);
+        };
+        let turn = turns.turn_length(self.rate).as_secs_f64();
+        let round = turn * f64::from(turns.count);
+        let position = turns.clock_at(now).as_secs_f64() + self.round_offset * round;
+        let since_start = (position - turn * f64::from(turns.index)).rem_euclid(round);
+        let is_unused = self.sent_at.is_none_or(|sent_at| {
+            now.saturating_duration_since(sent_at).as_secs_f64() > since_start
+        });
+        if is_unused && since_start < turn * USABLE_FRACTION {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(round - since_start)
+    }
+
+    pub(crate) fn record_sent(&mut self, now: Instant) {
+        self.sent_at = Some(now);
+    }
+}
--- a/components/balance/tests/limits.rs
+++ b/components/balance/tests/limits.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use balance::{LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape};
+use balance::{
+    LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape, SendTurns,
+};
 use model::RequestRate;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -27,7 +29,7 @@
     }
 }
 
-fn new_group(share: f64, now: Instant) -> PlacementGroup {
+fn new_group() -> PlacementGroup {
     let zone: model::ZoneName = "zone-a".parse().expect("the name is valid");
     let options =
         PlacementOptions { vm: "entry-1".into(), zone: zone.clone(), zone_cost_per_kib: 0.0 };
@@ -40,28 +42,76 @@
         slots: 2,
         is_leaving: false,
     }]);
-    group.set_limit_share(share, now);
     group
 }
 
+/// Entry VMs that subscribe to relays. A VM's turn is its index among those of its relay.
+struct Fleet {
+    relays: usize,
+    groups: Vec<PlacementGroup>,
+    started_at: Instant,
+}
+
+impl Fleet {
+    /// Creates a fleet whose VMs all know the limit from the start.
+    fn new(vms: usize, relays: usize, limit: RequestRate) -> Self {
+        let started_at = Instant::now();
+        let groups = (0..vms).map(|_| new_group()).collect();
+        let mut fleet = Self { relays, groups, started_at };
+        fleet.assign_turns(vms.div_ceil(relays), started_at);
+        for group in &mut fleet.groups {
+            record_limit(group, limit, started_at);
+        }
+        fleet
+    }
+
+    /// Assigns turns by relays that count `turns` of them. The clocks of the relays differ.
+    fn assign_turns(&mut self, turns: usize, now: Instant) {
+        for (number, group) in self.groups.iter_mut().enumerate() {
+            let (relay, index) = (number % self.relays, number / self.relays);
+            let clock =
+                Duration::from_millis(12_345 * relay as u64) + now.duration_since(self.started_at);
+            let turns = SendTurns::new(self.relays, turns as u32, index as u32, clock, now);
+            group.set_turns(turns.expect("the index is less than the count"));
+        }
+    }
+
+    /// Lets every VM try to send a request; returns how many did.
+    fn try_send(&mut self, limit: RequestRate, now: Instant, random: &mut StdRng) -> usize {
+        let groups = self.groups.iter_mut();
+        groups.filter_map(|group| try_send(group, limit, now, random).then_some(())).count()
+    }
+}
+
+fn record_limit(group: &mut PlacementGroup, limit: RequestRate, now: Instant) {
+    let mut random = StdRng::seed_from_u64(1);
+    let ticket = group.candidates(1, shape(), &[], now, &mut random)[0];
+    let named = LimitResponse { rate: Some(limit), is_probe: false, sent_at: now };
+    group.record_limit(ticket, named, now);
+}
+
 /// Tries to send a request; the response names `limit`.
 fn try_send(
     group: &mut PlacementGroup,
-    limit: Option<RequestRate>,
+    limit: RequestRate,
     now: Instant,
     random: &mut StdRng,
 ) -> bool {
     let Some(ticket) = group.candidates(1, shape(), &[], now, random).first().copied() else {
         return false;
     };
-    let (ticket, _) =
-        group.best_server(&[ticket], shape(), now).expect("a candidate may be chosen");
+    let best = group.best_server(&[ticket], shape(), now);
+    assert!(best.is_some(), "a candidate may be chosen");
+    record_limit(group, limit, now);
     group.record_sent(ticket, now);
-    let named = LimitResponse { rate: limit, is_probe: false, sent_at: now };
-    group.record_limit(ticket, named, now + Duration::from_millis(1), random);
     true
 }
 
+/// Returns the requests that a limit allows in one window.
+fn allowed_requests(limit: RequestRate) -> f64 {
+    1.5 * limit.0 * WINDOW.as_secs_f64() + REQUEST_SLACK
+}
+
 /// Returns the most requests in one window.
 fn peak_requests(sent_at: &[Instant]) -> usize {
     let in_window = |start: usize| {
@@ -71,88 +121,67 @@
     (0..sent_at.len()).map(in_window).max().unwrap_or(0)
 }
 
-/// Every entry VM learns the limit in the same second and sends whenever it may.
 #[test]
 fn fleet_of_any_size_keeps_a_limit_in_every_window() {
-    for vms in [1_u32, 3, 14, 121, 600] {
-        for limit in [0.5, 1.0, 4.0, 30.0] {
-            for seed in 0..4 {
-                let mut random = StdRng::seed_from_u64(seed);
-                let start = Instant::now();
-                let mut groups: Vec<PlacementGroup> =
-                    (0..vms).map(|_| new_group(1.0 / f64::from(vms), start)).collect();
-                for group in &mut groups {
-                    assert!(try_send(group, Some(RequestRate(limit)), start, &mut random));
-                }
-                let mut sent_at = Vec::new();
-                let mut now = start;
-                while now < start + SIMULATED_TIME {
-                    now += ATTEMPT_INTERVAL;
-                    for group in &mut groups {
-                        if try_send(group, Some(RequestRate(limit)), now, &mut random) {
-                            sent_at.push(now);
-                        }
-                    }
-                }
-                let allowed = 1.5 * limit * WINDOW.as_secs_f64() + REQUEST_SLACK;
-                let peak = peak_requests(&sent_at);
-                assert!(
-                    peak as f64 <= allowed,
-                    "{vms} VMs, limit {limit}, seed {seed}: {peak} requests, allowed {allowed}"
-                );
-                let rate = sent_at.len() as f64 / SIMULATED_TIME.as_secs_f64();
-                assert!(rate >= limit / 4.0, "{vms} VMs, limit {limit}: only {rate} a second");
+    let mut random = StdRng::seed_from_u64(1);
+    for (vms, relays) in [(1, 1), (3, 3), (14, 3), (121, 3), (600, 3), (600, 1)] {
+        for limit in [0.5, 1.0, 4.0, 30.0].map(RequestRate) {
+            let mut fleet = Fleet::new(vms, relays, limit);
+            let mut sent_at = Vec::new();
+            let mut now = fleet.started_at;
+            while now < fleet.started_at + SIMULATED_TIME {
+                now += ATTEMPT_INTERVAL;
+                let sent = fleet.try_send(limit, now, &mut random);
+                sent_at.extend(std::iter::repeat_n(now, sent));
             }
+            let (peak, allowed) = (peak_requests(&sent_at), allowed_requests(limit));
+            assert!(
+                peak as f64 <= allowed,
+                "{vms} VMs, limit {limit}: {peak} requests, allowed {allowed}"
+            );
+            let rate = sent_at.len() as f64 / SIMULATED_TIME.as_secs_f64();
+            assert!(rate >= limit.0 / 2.0, "{vms} VMs, limit {limit}: only {rate} a second");
         }
     }
 }
 
-/// Requests that wait all the time must not be sent by all entry VMs at once when their shares
-/// change together.
+/// Requests that wait all the time must not be sent by all entry VMs at once when VMs join and
+/// leave, so that all turns change.
 #[test]
-fn change_of_the_shares_keeps_the_requests_of_the_fleet_spread() {
-    let (vms, limit) = (121_u32, RequestRate(1.0));
+fn change_of_the_turns_keeps_the_requests_of_the_fleet_apart() {
+    let limit = RequestRate(1.0);
     let mut random = StdRng::seed_from_u64(1);
-    let start = Instant::now();
-    let mut groups: Vec<PlacementGroup> =
-        (0..vms).map(|_| new_group(1.0 / f64::from(3 * vms), start)).collect();
-    for group in &mut groups {
-        assert!(try_send(group, Some(limit), start, &mut random));
-    }
+    let mut fleet = Fleet::new(121, 3, limit);
     let mut sent_at = Vec::new();
-    let mut now = start;
-    for step in 0..6_000 {
+    let mut now = fleet.started_at;
+    for step in 0..4_000 {
         now += ATTEMPT_INTERVAL;
-        for group in &mut groups {
-            if step % 200 == 0 {
-                let members = if step % 400 == 0 { vms } else { 3 * vms };
-                group.set_limit_share(1.0 / f64::from(members), now);
-            }
-            if try_send(group, Some(limit), now, &mut random) {
-                sent_at.push(now);
-            }
+        if step % 100 == 0 {
+            fleet.assign_turns(41 + step / 100 % 7, now);
         }
+        let sent = fleet.try_send(limit, now, &mut random);
+        sent_at.extend(std::iter::repeat_n(now, sent));
     }
-    let allowed = 1.5 * limit.0 * WINDOW.as_secs_f64() + REQUEST_SLACK;
-    assert!(peak_requests(&sent_at) as f64 <= allowed, "{} requests", peak_requests(&sent_at));
+    let (peak, allowed) = (peak_requests(&sent_at), allowed_requests(limit));
+    assert!(peak as f64 <= allowed, "{peak} requests, allowed {allowed}");
 }
 
 #[test]
 fn only_a_response_to_a_later_request_ends_a_limit() {
     let mut random = StdRng::seed_from_u64(1);
     let start = Instant::now();
-    let mut group = new_group(0.001, start);
+    let mut group = new_group();
     let ticket = group.candidates(1, shape(), &[], start, &mut random)[0];
     let sent_at = start + Duration::from_millis(10);
     let named_at = start + Duration::from_millis(20);
     let limited = LimitResponse { rate: Some(RequestRate(1.0)), is_probe: false, sent_at };
-    assert!(group.record_limit(ticket, limited, named_at, &mut random));
+    assert!(group.record_limit(ticket, limited, named_at));
     // This request was sent before the limit was known.
     let now = start + Duration::from_millis(30);
-    assert!(!group.record_limit(ticket, LimitResponse { rate: None, ..limited }, now, &mut random));
+    assert!(!group.record_limit(ticket, LimitResponse { rate: None, ..limited }, now));
     assert!(group.best_server(&[ticket], shape(), now).is_none());
     let later = LimitResponse { rate: None, sent_at: now, ..limited };
-    assert!(group.record_limit(ticket, later, now, &mut random));
+    assert!(group.record_limit(ticket, later, now));
     assert_eq!(group.limited_servers(), 0);
     assert!(group.best_server(&[ticket], shape(), now).is_some());
 }
@@ -163,15 +192,15 @@
     let mut random = StdRng::seed_from_u64(1);
     let start = Instant::now();
     let at = |millis| start + Duration::from_millis(millis);
-    let mut group = new_group(0.001, start);
+    let mut group = new_group();
     let ticket = group.candidates(1, shape(), &[], start, &mut random)[0];
     let limited = LimitResponse { rate: Some(RequestRate(1.0)), is_probe: false, sent_at: at(0) };
     let probe = LimitResponse { rate: None, is_probe: true, sent_at: at(20) };
-    group.record_limit(ticket, limited, at(10), &mut random);
-    group.record_limit(ticket, probe, at(30), &mut random);
+    group.record_limit(ticket, limited, at(10));
+    group.record_limit(ticket, probe, at(30));
     assert_eq!(group.limited_servers(), 1);
     let limited_probe = LimitResponse { rate: limited.rate, ..probe };
-    group.record_limit(ticket, limited_probe, at(40), &mut random);
-    group.record_limit(ticket, probe, at(50), &mut random);
+    group.record_limit(ticket, limited_probe, at(40));
+    group.record_limit(ticket, probe, at(50));
     assert_eq!(group.limited_servers(), 0);
 }
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -8,10 +8,11 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use limits::{fleet_share, slack_share};
+use balance::SendTurns;
+use limits::slack_share;
 use model::jittered;
 use observe::info;
-use peers::{PeerError, RelayMessage, RelaySubscription};
+use peers::{PeerError, RelayMessage, RelaySubscription, SubscriberTurns};
 use routes::ServerChange;
 
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
@@ -151,13 +152,21 @@
                 }
                 view.apply_changes(version, changes);
             }
-            RelayMessage::KeepAlive { is_store_unreachable, members, .. } => {
+            RelayMessage::KeepAlive { is_store_unreachable, members, turns, .. } => {
                 view.set_store_unreachable(is_store_unreachable);
                 let relays = self.relays.len();
                 view.services.set_slack(slack_share(self.slack, relays, members));
-                view.services.set_limit_share(fleet_share(relays, members), Instant::now());
+                if let Some(turns) = turns.and_then(|turns| send_turns(turns, relays)) {
+                    view.services.set_turns(turns);
+                }
             }
         }
         None
     }
 }
+
+/// Returns the turns that a relay, one of `relays`, assigned just now.
+pub(crate) fn send_turns(turns: SubscriberTurns, relays: usize) -> Option<SendTurns> {
+    let clock = Duration::from_millis(turns.clock_ms);
+    SendTurns::new(relays, turns.count, turns.index, clock, Instant::now())
+}
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -9,9 +9,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, interval, sleep, timeout};
 
-use balance::PlacementOptions;
+use balance::{PlacementOptions, SendTurns};
 use board::HostedBoard;
-use limits::{AttemptLimits, assumed_fleet_share, fleet_share, slack_share};
+use limits::{AttemptLimits, slack_share};
 use observe::{BatchedLogger, FLUSH_INTERVAL, HostedMetrics, Logger, info, slog_level, warn};
 use peers::{RelayHub, serve_relay};
 use platform::PlatformStore;
@@ -21,7 +21,7 @@
 use crate::hosted::platform_view::PlatformView;
 use crate::hosted::platform_watcher::{PlatformWatcher, StoreCallConfig};
 use crate::hosted::readiness::{ReadinessContext, serve_readiness};
-use crate::hosted::relay_subscriber::RelaySubscriber;
+use crate::hosted::relay_subscriber::{RelaySubscriber, send_turns};
 use crate::run::{DaemonError, listen, start_error};
 use crate::shutdown::StopSignals;
 
@@ -64,7 +64,7 @@
 /// Bytes in a GB, the unit of the price of transfers between zones.
 const BYTES_PER_GB: f64 = 1e9;
 
-/// Time between two updates of a relay's own share of the slack.
+/// Time between two updates of a relay's own share of the slack, and of its turns.
 const SLACK_SHARE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Longest pause between failed calls to the store. A VM must be in contact with the store again
@@ -221,7 +221,9 @@
         let members = hub.member_count(Instant::now());
         let relays = settings.relays.len();
         services.set_slack(slack_share(settings.retries.slack, relays, members));
-        services.set_limit_share(fleet_share(relays, members), Instant::now());
+        if let Some(turns) = send_turns(hub.own_turns(Instant::now()), relays) {
+            services.set_turns(turns);
+        }
     }
 }
 
@@ -231,8 +233,8 @@
         zone: settings.zone.clone(),
         zone_cost_per_kib: settings.cross_zone_requests_per_gb * 1024.0 / BYTES_PER_GB,
     };
-    let limit_share = assumed_fleet_share(settings.relays.len());
-    HostedServices::new(placement, attempt_limits(settings), limit_share, log.clone())
+    let turns = SendTurns::assumed(settings.relays.len(), rand::random(), Instant::now());
+    HostedServices::new(placement, attempt_limits(settings), turns, log.clone())
 }
 
 fn attempt_limits(settings: &HostedSettings) -> AttemptLimits {
--- a/components/limits/src/slack.rs
+++ b/components/limits/src/slack.rs
@@ -63,18 +63,8 @@
 /// Returns one entry VM's share of `slack`, which is divided among `relays` relays, and by each of
 /// them among `members` entry VMs.
 pub fn slack_share(slack: f64, relays: usize, members: u32) -> f64 {
-    slack * fleet_share(relays, members)
-}
-
-/// Returns one entry VM's fraction of a quantity that is divided like the slack.
-pub fn fleet_share(relays: usize, members: u32) -> f64 {
     if relays == 0 || members == 0 {
         return 0.0;
     }
-    DISTRIBUTED_FRACTION / relays as f64 / f64::from(members)
-}
-
-/// Returns the fraction of an entry VM that has had no relay yet.
-pub fn assumed_fleet_share(relays: usize) -> f64 {
-    fleet_share(relays.max(1), ASSUMED_MEMBERS)
+    slack * DISTRIBUTED_FRACTION / relays as f64 / f64::from(members)
 }
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -6,7 +6,7 @@
 //! old or the relay is silent. So a faulty or slow relay costs extra store calls, but never
 //! violates a guarantee of the load balancer.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -42,6 +42,9 @@
 /// A subscriber with a version before all of them receives the full list.
 const CHANGE_HISTORY_CAPACITY: usize = 64;
 
+/// The relay's own turn.
+const RELAY_TURN: u32 = 0;
+
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -88,9 +91,24 @@
         is_store_unreachable: bool,
         /// Number of entry VMs among which the relay divides its share of fleet-wide budgets.
         members: u32,
+        /// Turns of the subscriber; `None` from an older version of the daemon.
+        #[serde(default)]
+        turns: Option<SubscriberTurns>,
     },
 }
 
+/// Turns in which a relay's subscribers and the relay itself use what only one of them may use at a
+/// time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubscriberTurns {
+    /// Turn of the receiver in each round. Invariant: less than `count`.
+    pub index: u32,
+    /// Number of turns in a round.
+    pub count: u32,
+    /// Milliseconds on the relay's steady clock.
+    pub clock_ms: u64,
+}
+
 /// State of a relay, and the channel to its subscribers.
 pub struct RelayHub {
     state: Mutex<HubState>,
@@ -107,6 +125,22 @@
     servers_confirmed_at: Option<Instant>,
     is_store_unreachable: bool,
     members: MemberCount,
+    /// Turns in use: 0 is the relay's own, the others are those of subscribers.
+    used_turns: BTreeSet<u32>,
+    /// Start of the clock that the subscribers share.
+    started_at: Instant,
+}
+
+/// A subscriber's turn, free again when this is dropped.
+struct TurnGuard<'a> {
+    hub: &'a RelayHub,
+    index: u32,
+}
+
+impl Drop for TurnGuard<'_> {
+    fn drop(&mut self) {
+        self.hub.state().used_turns.remove(&self.index);
+    }
 }
 
 /// Encoded changes of the server list between two store versions.
@@ -140,6 +174,12 @@
 }
 
 impl HubState {
+    fn turns(&self, index: u32, now: Instant) -> SubscriberTurns {
+        let count = self.used_turns.last().map_or(1, |last| last + 1);
+        let clock = now.saturating_duration_since(self.started_at);
+        SubscriberTurns { index, count, clock_ms: clock.as_millis() as u64 }
+    }
+
     fn push_changes(&mut self, changes: EncodedChanges) {
         if self.changes.len() == CHANGE_HISTORY_CAPACITY {
             self.changes.pop_front();
@@ -165,6 +205,7 @@
     /// Creates a hub without subscribers. What a member takes from a fleet-wide budget counts
     /// against it for `window`.
     pub fn new(window: Duration) -> Self {
+        let now = Instant::now();
         let state = HubState {
             config: None,
             servers: None,
@@ -172,7 +213,9 @@
             config_confirmed_at: None,
             servers_confirmed_at: None,
             is_store_unreachable: false,
-            members: MemberCount::new(window, Instant::now()),
+            members: MemberCount::new(window, now),
+            used_turns: BTreeSet::from([RELAY_TURN]),
+            started_at: now,
         };
         Self {
             state: Mutex::new(state),
@@ -252,12 +295,28 @@
         state.members.peak(now)
     }
 
+    /// Returns the relay's own turns.
+    pub fn own_turns(&self, now: Instant) -> SubscriberTurns {
+        self.state().turns(RELAY_TURN, now)
+    }
+
+    /// Assigns the lowest free turn.
+    fn take_turn(&self) -> TurnGuard<'_> {
+        let mut state = self.state();
+        let mut indexes = RELAY_TURN..;
+        let free = indexes.find(|index| !state.used_turns.contains(index));
+        let index = free.expect("there are fewer subscribers than numbers");
+        state.used_turns.insert(index);
+        TurnGuard { hub: self, index }
+    }
+
     /// Returns a keep-alive message for a subscriber; `None` until the store has confirmed both the
     /// configuration and the server list, and while updates are queued for the subscriber: it would
     /// take the state without them for confirmed.
     fn keep_alive(
         &self,
         updates: &broadcast::Receiver<EncodedMessage>,
+        turn: u32,
         now: Instant,
     ) -> Option<RelayMessage> {
         let members = self.member_count(now);
@@ -271,6 +330,7 @@
             age_ms,
             is_store_unreachable: state.is_store_unreachable,
             members,
+            turns: Some(state.turns(turn, now)),
         })
     }
 
@@ -335,6 +395,7 @@
     let (mut socket, held) = timeout(CONNECT_TIMEOUT, accept_subscriber(stream))
         .await
         .map_err(|_| PeerError::TimedOut)??;
+    let turn = hub.take_turn();
     let (missing, mut updates) = hub.subscribe(&held)?;
     for message in missing {
         let bytes = message.bytes(held.accepts_compressed);
@@ -345,7 +406,7 @@
         let message = tokio::select! {
             biased;
             message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
-            _ = keep_alive_ticks.tick() => match hub.keep_alive(&updates, Instant::now()) {
+            _ = keep_alive_ticks.tick() => match hub.keep_alive(&updates, turn.index, Instant::now()) {
                 Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
                 None => continue,
             },
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use model::RevisionNumber;
-use peers::{HeldVersions, RelayHub, RelayMessage, RelaySubscription, serve_relay};
+use peers::{
+    HeldVersions, RelayHub, RelayMessage, RelaySubscription, SubscriberTurns, serve_relay,
+};
 use routes::{CallerLimits, RouteTable, ServerChange, ServerRecord, ServiceName};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
@@ -165,3 +167,45 @@
     let (_, keep_alive) = relay.subscribe(7, Some(110)).await;
     assert!(matches!(keep_alive, RelayMessage::KeepAlive { is_store_unreachable: false, .. }));
 }
+
+/// Returns the turns of the next keep-alive message.
+async fn next_turns(subscription: &mut RelaySubscription) -> SubscriberTurns {
+    loop {
+        let message = subscription.next(MESSAGE_TIMEOUT).await.expect("the relay sends messages");
+        if let RelayMessage::KeepAlive { turns, .. } = message {
+            return turns.expect("the relay assigns turns");
+        }
+    }
+}
+
+/// Two entry VMs with the same turn would send to a limited server at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn subscribers_have_turns_of_their_own_that_are_assigned_again() {
+    let relay = TestRelay::start().await;
+    let held = HeldVersions { config: Some(7), servers: Some(110), accepts_compressed: true };
+    let mut subscriptions = Vec::new();
+    for expected in 1..=3 {
+        let mut subscription = RelaySubscription::open(relay.address, &held)
+            .await
+            .expect("the relay accepts the subscription");
+        let turns = next_turns(&mut subscription).await;
+        assert_eq!((turns.index, turns.count), (expected, expected + 1));
+        subscriptions.push(subscription);
+    }
+    assert_eq!(relay.hub.own_turns(Instant::now()).index, 0);
+    drop(subscriptions.remove(0));
+    // The relay notices the end when it sends the next keep-alive.
+    loop {
+        let mut subscription = RelaySubscription::open(relay.address, &held)
+            .await
+            .expect("the relay accepts the subscription");
+        let turns = next_turns(&mut subscription).await;
+        if turns.index == 1 {
+            break;
+        }
+    }
+    let last = subscriptions.last_mut().expect("two subscriptions are left");
+    let turns = next_turns(last).await;
+    assert_eq!(turns.index, 3, "a subscriber keeps its turn");
+    assert!(turns.count >= 4);
+}
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -8,8 +8,8 @@
 use tokio::time::Instant;
 
 use balance::{
-    LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape, ServerTicket,
-    StartedRequest,
+    LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape, SendTurns,
+    ServerTicket, StartedRequest,
 };
 use limits::{AttemptBudget, AttemptLimits};
 use model::{FastMap, RequestRate, ServerId};
@@ -40,7 +40,7 @@
     /// Records the limit that a server's own response names, or that it names none.
     pub(crate) fn record_limit(&self, ticket: ServerTicket, named: LimitResponse) {
         let mut group = self.group();
-        if !group.record_limit(ticket, named, Instant::now(), &mut rand::rng()) {
+        if !group.record_limit(ticket, named, Instant::now()) {
             return;
         }
         let server = group.id_and_address(ticket).map(|(id, _)| id.clone());
@@ -89,8 +89,8 @@
 pub struct HostedServices {
     options: PlacementOptions,
     limits: Mutex<AttemptLimits>,
-    /// Fraction of the limits of backend servers that this entry VM may use.
-    limit_share: Mutex<f64>,
+    /// This entry VM's turns at backend servers that name a limit.
+    turns: Mutex<SendTurns>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     /// Held while services are added or the slack of all budgets is changed.
     update_lock: Mutex<()>,
@@ -98,18 +98,18 @@
 }
 
 impl HostedServices {
-    /// Creates an empty set of services. This entry VM may use the fraction `limit_share` of the
-    /// limits that backend servers name.
+    /// Creates an empty set of services. `turns` are this entry VM's turns at backend servers that
+    /// name a limit.
     pub fn new(
         options: PlacementOptions,
         limits: AttemptLimits,
-        limit_share: f64,
+        turns: SendTurns,
         log: Logger,
     ) -> Self {
         Self {
             options,
             limits: Mutex::new(limits),
-            limit_share: Mutex::new(limit_share),
+            turns: Mutex::new(turns),
             services: ArcSwap::default(),
             update_lock: Mutex::new(()),
             log,
@@ -170,14 +170,12 @@
         }
     }
 
-    /// Sets the fraction of the limits of backend servers that this entry VM may use.
-    pub fn set_limit_share(&self, share: f64, now: Instant) {
-        if std::mem::replace(&mut *self.limit_share(), share) == share {
-            return;
-        }
+    /// Sets this entry VM's turns at backend servers that name a limit.
+    pub fn set_turns(&self, turns: SendTurns) {
+        *self.turns() = turns;
         let _guard = self.update_lock();
         for service in self.services.load().values() {
-            service.group().set_limit_share(share, now);
+            service.group().set_turns(turns);
         }
     }
 
@@ -186,8 +184,8 @@
         self.services.load().values().map(|service| service.group().limited_servers()).sum()
     }
 
-    fn limit_share(&self) -> MutexGuard<'_, f64> {
-        self.limit_share.lock().expect("share lock is never poisoned")
+    fn turns(&self) -> MutexGuard<'_, SendTurns> {
+        self.turns.lock().expect("turn lock is never poisoned")
     }
 
     fn limits(&self) -> MutexGuard<'_, AttemptLimits> {
@@ -200,7 +198,7 @@
 
     fn new_service(&self, name: &ServiceName) -> Arc<HostedService> {
         let mut group = PlacementGroup::new(self.options.clone());
-        group.set_limit_share(*self.limit_share(), Instant::now());
+        group.set_turns(*self.turns());
         Arc::new(HostedService {
             name: name.clone(),
             group: Mutex::new(group),
--- a/tests/hosted_limits.rs
+++ b/tests/hosted_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::RequestRate;
-use testkit::{HostedBehaviour, HostedFleet, call, eventually};
+use testkit::{HostedBehaviour, HostedDaemon, HostedFleet, call, eventually, free_address};
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
 
@@ -26,6 +26,13 @@
     served
 }
 
+/// Sends requests to a daemon that is not the fleet's own.
+async fn send_requests_to(fleet: &mut HostedFleet, daemon: &mut HostedDaemon, count: u64) {
+    std::mem::swap(&mut fleet.daemon, daemon);
+    send_requests(fleet, count).await;
+    std::mem::swap(&mut fleet.daemon, daemon);
+}
+
 /// Guards against servers that get their usual share although they have named a limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn server_that_names_a_limit_gets_no_more_requests_than_it() {
@@ -47,6 +54,36 @@
     assert!(received <= allowed, "{received} requests in {seconds:.1} s, {allowed} are allowed");
 }
 
+/// Guards against a limit that each entry VM keeps, but their sum does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn several_vms_together_keep_the_limit_of_a_server() {
+    let program = Path::new(DAEMON_PATH);
+    let behaviour = HostedBehaviour::Run(Duration::ZERO);
+    let mut fleet = HostedFleet::start(program, 2, behaviour).await;
+    let (store, relay) = (fleet.platform.address(), free_address());
+    let addresses = [relay, free_address(), free_address(), free_address()];
+    let mut daemons =
+        addresses.map(|own| HostedDaemon::start_with_relays(program, store, own, &[relay]));
+    for daemon in &mut daemons {
+        daemon.wait_ready().await;
+    }
+    fleet.servers[0].set_limit(Some(LIMIT));
+    for daemon in &mut daemons {
+        let before = fleet.servers[0].request_count();
+        while fleet.servers[0].request_count() == before {
+            send_requests_to(&mut fleet, daemon, 1).await;
+        }
+    }
+    let (before, started_at) = (fleet.servers[0].request_count(), std::time::Instant::now());
+    for daemon in &mut daemons {
+        send_requests_to(&mut fleet, daemon, STEP_REQUESTS).await;
+    }
+    let seconds = started_at.elapsed().as_secs_f64();
+    let allowed = (1.5 * LIMIT.0 * seconds.max(4.0) + REQUEST_SLACK) as u64;
+    let received = fleet.servers[0].request_count() - before;
+    assert!(received <= allowed, "{received} requests in {seconds:.1} s, {allowed} are allowed");
+}
+
 /// A limit must not outlast the responses that name it.
 #[tokio::test(flavor = "multi_thread")]
 async fn server_that_names_no_limit_any_more_gets_its_share_again() {
