Keep servers as they are known when the list is replaced by an older copy

What callers would see after such a return of the store: requests at servers that have left, and none at those that have just come.

Cause: a listing is taken as the newest knowledge, and only an outage explains missing entries, if more than half of a service's are missing.

Change: after a restored list, servers that it lacks are used until their retention ends, also a minority of them; removed servers are remembered for 60 s and taken up again only with a higher sequence number of their entry.

Measured: three new tests of the registry; the first two fail with a listing that is applied without the mark (as before): by reading, not by a run.

--- a/components/routes/src/registry.rs
+++ b/components/routes/src/registry.rs
@@ -1,7 +1,9 @@
 //! Registry of backend servers, built from listings and changes of the hosting platform's list,
 //! which can be unreachable at times.
 //!
-//! A lapsed entry is one that expired because its server could not renew it during an outage.
+//! A lapsed entry is one that expired because its server could not renew it during an outage. The
+//! list may also be replaced by an older copy of itself, which lacks new servers and contains those
+//! that have been removed since.
 
 use std::time::Duration;
 
@@ -18,6 +20,10 @@
 /// has stopped must receive no requests from three seconds after that end.
 const LAPSED_ENTRY_RETENTION: Duration = Duration::from_millis(1_700);
 
+/// How long removed entries are remembered, so that an older copy of the list doesn't bring them
+/// back.
+const REMOVED_ENTRY_MEMORY: Duration = Duration::from_secs(60);
+
 /// Backend servers by identity, and whether the platform's list is reachable.
 #[derive(Debug, Default)]
 pub struct ServerRegistry {
@@ -26,13 +32,27 @@
     is_unreachable: bool,
     /// When the list became reachable again after the last outage.
     recovered_at: Option<Instant>,
+    /// When the list was last replaced by an older copy.
+    restored_at: Option<Instant>,
+    /// Last records of removed servers, and when they were removed.
+    removed: FastMap<ServerId, (ServerRecord, Instant)>,
 }
 
 #[derive(Debug)]
 struct RegisteredServer {
     record: ServerRecord,
-    /// When a server whose entry has lapsed is removed; `None` while it is listed.
+    /// When a server whose entry is missing is removed; `None` while it is listed.
     retained_until: Option<Instant>,
+    /// Whether the entry is missing from an older copy of the list, which says nothing about the
+    /// server.
+    is_missing_in_copy: bool,
+}
+
+impl RegisteredServer {
+    /// Whether the entry is missing because the server could not renew it, or has stopped.
+    fn is_lapsed(&self) -> bool {
+        self.retained_until.is_some() && !self.is_missing_in_copy
+    }
 }
 
 impl ServerRegistry {
@@ -49,13 +69,21 @@
         }
     }
 
+    /// Records that the list was replaced by an older copy. Must be called before the content of
+    /// the copy is applied.
+    pub fn mark_restored(&mut self, now: Instant) {
+        self.is_unreachable = false;
+        self.recovered_at = Some(now);
+        self.restored_at = Some(now);
+    }
+
     /// Applies a complete listing: servers that it doesn't contain are missing.
     pub fn apply_listing(&mut self, listing: Vec<ServerChange>, now: Instant) {
         let mut missing: Vec<ServerId> = self.servers.keys().cloned().collect();
         for change in listing {
             if let ServerChange::Present(record) = change {
                 missing.retain(|id| *id != record.id);
-                self.upsert(record);
+                self.upsert(record, now);
             }
         }
         for id in missing {
@@ -67,7 +95,7 @@
     pub fn apply_changes(&mut self, changes: Vec<ServerChange>, now: Instant) {
         for change in changes {
             match change {
-                ServerChange::Present(record) => self.upsert(record),
+                ServerChange::Present(record) => self.upsert(record, now),
                 ServerChange::Absent(id) => self.remove_or_retain(&id, now),
             }
         }
@@ -75,9 +103,18 @@
 
     /// Removes servers whose retention has ended; returns whether there were any.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
-        let before = self.servers.len();
-        self.servers.retain(|_, server| server.retained_until.is_none_or(|at| now < at));
-        self.servers.len() != before
+        let is_expired =
+            |server: &RegisteredServer| server.retained_until.is_some_and(|at| now >= at);
+        let expired: Vec<ServerId> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| is_expired(server))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &expired {
+            self.remove(id, now);
+        }
+        !expired.is_empty()
     }
 
     /// Returns when `remove_expired` is due next; `None` if no entry has lapsed.
@@ -85,20 +122,19 @@
         self.servers.values().filter_map(|server| server.retained_until).min()
     }
 
-    /// Returns the servers that may receive requests. Those with lapsed entries are included only
+    /// Returns the servers that may receive requests. Those that an older copy lacks are included
+    /// until their retention ends, those with lapsed entries are included only
     /// if more than half of the entries of their service have lapsed: otherwise the missing
     /// servers have more likely stopped.
     pub fn eligible_servers(&self) -> impl Iterator<Item = &ServerRecord> {
         let mut listed_surplus: FastMap<&ServiceName, i64> = FastMap::default();
         for server in self.servers.values() {
-            let delta = if server.retained_until.is_some() { -1 } else { 1 };
+            let delta = if server.is_lapsed() { -1 } else { 1 };
             *listed_surplus.entry(&server.record.service).or_default() += delta;
         }
         self.servers
             .values()
-            .filter(move |server| {
-                server.retained_until.is_none() || listed_surplus[&server.record.service] < 0
-            })
+            .filter(move |server| !server.is_lapsed() || listed_surplus[&server.record.service] < 0)
             .map(|server| &server.record)
     }
 
@@ -118,14 +154,35 @@
         self.servers.is_empty()
     }
 
-    /// Adds or updates a server, unless the record is older than the one held.
-    fn upsert(&mut self, record: ServerRecord) {
+    /// Adds or updates a server, unless the record is older than the one held, or an older copy of
+    /// the list contains it although the server was removed since.
+    fn upsert(&mut self, record: ServerRecord, now: Instant) {
         let id = record.id.clone();
+        if self.is_removed_in_copy(&record, now) {
+            return;
+        }
+        self.removed.remove(&id);
         let current = self.servers.get(&id);
         if current.is_some_and(|server| record.is_older_than(&server.record)) {
             return;
         }
-        self.servers.insert(id, RegisteredServer { record, retained_until: None });
+        let server = RegisteredServer { record, retained_until: None, is_missing_in_copy: false };
+        self.servers.insert(id, server);
+    }
+
+    fn is_removed_in_copy(&self, record: &ServerRecord, now: Instant) -> bool {
+        let is_restored = self.restored_at.is_some_and(|at| now < at + REMOVED_ENTRY_MEMORY);
+        is_restored
+            && self.removed.get(&record.id).is_some_and(|(removed, _)| {
+                removed.is_same_incarnation(record) && record.sequence <= removed.sequence
+            })
+    }
+
+    fn remove(&mut self, id: &ServerId, now: Instant) {
+        self.removed.retain(|_, (_, removed_at)| now < *removed_at + REMOVED_ENTRY_MEMORY);
+        if let Some(server) = self.servers.remove(id) {
+            self.removed.insert(id.clone(), (server.record, now));
+        }
     }
 
     /// Handles a missing entry: right after an outage it may only have lapsed, so its server is
@@ -137,10 +194,11 @@
             return;
         };
         match until.filter(|_| !server.record.is_leaving) {
-            Some(until) => server.retained_until = Some(server.retained_until.unwrap_or(until)),
-            None => {
-                self.servers.remove(id);
+            Some(until) => {
+                server.retained_until = Some(server.retained_until.unwrap_or(until));
+                server.is_missing_in_copy = self.restored_at == self.recovered_at;
             }
+            None => self.remove(id, now),
         }
     }
 }
--- a/components/routes/tests/registry.rs
+++ b/components/routes/tests/registry.rs
@@ -124,3 +124,42 @@
     registry.apply_listing(vec![present(record("two", 2)), present(record("three", 1))], now);
     assert_eq!(ids(&registry), ["three".parse().unwrap(), "two".parse().unwrap()]);
 }
+
+#[test]
+fn server_that_an_older_copy_lacks_is_eligible_until_its_retention_ends() {
+    let now = Instant::now();
+    let mut registry = registry_of(&["one", "two", "three"], now);
+    let restored_at = now + Duration::from_secs(30);
+    registry.mark_restored(restored_at);
+    registry.apply_listing(vec![present(record("one", 1)), present(record("two", 1))], restored_at);
+    assert_eq!(registry.eligible_servers().count(), 3, "a minority is missing");
+    let expires_at = registry.next_expiry().expect("the missing server is retained");
+    assert!(expires_at <= restored_at + Duration::from_secs(2));
+    assert!(registry.remove_expired(expires_at));
+    assert_eq!(registry.eligible_servers().count(), 2);
+}
+
+#[test]
+fn older_copy_does_not_bring_a_removed_server_back() {
+    let now = Instant::now();
+    let mut registry = registry_of(&["one", "two"], now);
+    registry.apply_changes(vec![absent("one")], now);
+    let restored_at = now + Duration::from_secs(5);
+    registry.mark_restored(restored_at);
+    registry.apply_listing(vec![present(record("one", 1)), present(record("two", 1))], restored_at);
+    assert_eq!(ids(&registry), ["two".parse().unwrap()]);
+    // The server writes its entry again, so it runs.
+    registry.apply_changes(vec![present(record("one", 2))], restored_at);
+    assert_eq!(registry.eligible_servers().count(), 2);
+}
+
+#[test]
+fn older_copy_does_not_make_a_leaving_server_available() {
+    let now = Instant::now();
+    let mut registry = registry_of(&["one"], now);
+    let leaving = ServerRecord { is_leaving: true, ..record("one", 2) };
+    registry.apply_changes(vec![present(leaving)], now);
+    registry.mark_restored(now);
+    registry.apply_listing(vec![present(record("one", 1))], now);
+    assert!(registry.eligible_servers().all(|server| server.is_leaving));
+}
