Follow the store into a new era when it returns from an older copy

What callers would see after such a drill: requests at servers that left, none at new ones, until the store's counter has passed its old value, and changes missed for good after that; each VM lists the table every 150 ms meanwhile.

Cause: versions of the store were bare numbers, compared across its return from a copy that gives them out again. The class of fault: an order of numbers that is only valid within one history.

Change: StoreVersion is an era and a number, ordered by era first, from the adapter (header Store-Era) over watchers and the server list to the relays. A poll's response of another era is dropped and the table listed once; late listings of an earlier era are ignored; a subscriber leaves a relay of an earlier era. The stand-in returns from a copy. A store without the header, and daemons of before, see plain numbers as now.

--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use board::HostedBoard;
+use model::StoreVersion;
 use observe::{HostedMetrics, Logger, info, warn};
 use peers::{HeldVersions, PeerError, RelayHub};
 use proxy::HostedServices;
@@ -31,16 +32,19 @@
 struct ServerListState {
     registry: ServerRegistry,
     /// Version of the store that the list reflects; `None` before the first listing.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
 }
 
 impl ServerListState {
     /// Records a response that reflects a version of the store. Returns `false` if a newer version
     /// is held.
-    fn accept_version(&mut self, version: u64, now: Instant) -> bool {
+    fn accept_version(&mut self, version: StoreVersion, now: Instant) -> bool {
         if self.version.is_some_and(|held| version < held) {
             return false;
         }
+        if self.version.is_some_and(|held| version.era > held.era) {
+            self.registry.mark_restored(now);
+        }
         self.version = Some(version);
         self.registry.mark_reachable(now);
         true
@@ -86,7 +90,7 @@
     }
 
     /// Version of the store that the list of servers reflects.
-    pub(crate) fn servers_version(&self) -> Option<u64> {
+    pub(crate) fn servers_version(&self) -> Option<StoreVersion> {
         self.lock_servers().version
     }
 
@@ -106,19 +110,25 @@
     }
 
     /// Replaces the list of servers, unless a newer version is held.
-    pub(crate) fn apply_listing(&self, version: u64, listed: Vec<ServerChange>) {
+    pub(crate) fn apply_listing(&self, version: StoreVersion, listed: Vec<ServerChange>) {
         let now = Instant::now();
         let mut servers = self.lock_servers();
+        let held_version = servers.version;
         if !servers.accept_version(version, now) {
             return;
         }
+        if let Some(held) = held_version.filter(|held| held.era < version.era) {
+            self.metrics.store_era.set(version.era as i64);
+            warn!(self.log, "store: returned from an older copy"; "version" => %version,
+                "held" => %held, "listed" => listed.len(), "known" => servers.registry.len());
+        }
         servers.registry.apply_listing(listed, now);
         self.publish_servers(&servers, None);
         self.board.mark_servers_received();
     }
 
     /// Applies changes of the list of servers, unless a newer version is held.
-    pub(crate) fn apply_changes(&self, version: u64, changes: Vec<ServerChange>) {
+    pub(crate) fn apply_changes(&self, version: StoreVersion, changes: Vec<ServerChange>) {
         let now = Instant::now();
         let mut servers = self.lock_servers();
         if !servers.accept_version(version, now) {
@@ -163,7 +173,7 @@
         self.metrics.servers.set(registry.len() as i64);
         let leaving = registry.eligible_servers().filter(|record| record.is_leaving).count();
         info!(self.log, "servers: list applied"; "servers" => registry.len(),
-            "leaving" => leaving, "version" => servers.version);
+            "leaving" => leaving, "version" => servers.version.map(|version| version.to_string()));
         if let (Some(hub), Some(version)) = (&self.hub, servers.version) {
             let records = registry.listed_servers().cloned().collect();
             self.log_encode_failure(hub.publish_servers(version, records, changes));
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -47,6 +47,8 @@
     Failed(PeerError),
     #[display("relay's state is {_0} ms old")]
     Stale(u64),
+    #[display("relay's server list is of the earlier era {_0} of the store")]
+    EarlierEra(u64),
     #[display("a change of the server list is missing")]
     MissingChange,
 }
@@ -116,7 +118,10 @@
                 Ok(message) => message,
                 Err(error) => return SubscriptionEnd::Failed(error),
             };
-            if let RelayMessage::KeepAlive { age_ms, .. } = message {
+            if let RelayMessage::KeepAlive { age_ms, era, .. } = message {
+                if self.view.servers_version().is_some_and(|held| held.era > era) {
+                    return SubscriptionEnd::EarlierEra(era);
+                }
                 let now = Instant::now();
                 let age = Duration::from_millis(age_ms);
                 if age <= MAX_RELAY_STATE_AGE {
--- a/components/daemon/src/hosted/table_watcher.rs
+++ b/components/daemon/src/hosted/table_watcher.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use model::jittered;
+use model::{StoreVersion, jittered};
 use observe::{HostedMetrics, Logger, info, warn};
 use platform::{FeedResponse, TableName, TableRow, VersionedRows};
 use store::StoreError;
@@ -23,10 +23,10 @@
     log: &'a Logger,
     table: TableName,
     /// Version up to which changes were received; `None` if the table must be listed.
-    held_version: Option<u64>,
+    held_version: Option<StoreVersion>,
     /// Newest version received. Unlike `held_version`, it is kept when the table must be listed
     /// again.
-    newest_version: u64,
+    newest_version: StoreVersion,
     /// Consecutive failed calls.
     failures: u32,
     /// Time that the last call without changes took beyond its long-poll wait.
@@ -48,9 +48,9 @@
         metrics: &'a HostedMetrics,
         log: &'a Logger,
         table: TableName,
-        held_version: Option<u64>,
+        held_version: Option<StoreVersion>,
     ) -> Self {
-        let newest_version = held_version.unwrap_or(0);
+        let newest_version = held_version.unwrap_or_default();
         let response_delay = Duration::ZERO;
         Self {
             call_config,
@@ -71,7 +71,7 @@
 
     /// Calls the store once and returns the update with its version. Returns `None` if the call
     /// failed, the listing is outdated or the change history has expired.
-    pub(crate) async fn next_update(&mut self) -> Option<(u64, TableUpdate)> {
+    pub(crate) async fn next_update(&mut self) -> Option<(StoreVersion, TableUpdate)> {
         let call_lock = Arc::clone(&self.call_config.failing_call_lock);
         let _guard = match self.is_failing() {
             true => Some(call_lock.lock().await),
@@ -84,7 +84,7 @@
         }
     }
 
-    async fn list_table(&mut self) -> Option<(u64, TableUpdate)> {
+    async fn list_table(&mut self) -> Option<(StoreVersion, TableUpdate)> {
         let listed = match self.call_config.store.list(self.table).await {
             Ok(listed) => listed,
             Err(error) => return self.record_failure(&error).await,
@@ -92,8 +92,8 @@
         self.record_success();
         if listed.version < self.newest_version {
             warn!(self.log, "store: ignored a listing older than the version held";
-                "table" => %self.table, "version" => listed.version,
-                "known" => self.newest_version);
+                "table" => %self.table, "version" => %listed.version,
+                "known" => %self.newest_version);
             sleep(jittered(INITIAL_FAILURE_PAUSE)).await;
             return None;
         }
@@ -101,7 +101,10 @@
         Some((version, TableUpdate::Listed(self.advance_version(listed))))
     }
 
-    async fn poll_changes(&mut self, after_version: u64) -> Option<(u64, TableUpdate)> {
+    async fn poll_changes(
+        &mut self,
+        after_version: StoreVersion,
+    ) -> Option<(StoreVersion, TableUpdate)> {
         let started_at = Instant::now();
         let wait = self.long_poll_wait();
         match self.call_config.store.poll_changes(self.table, after_version, wait).await {
@@ -114,8 +117,8 @@
                 Some((version, TableUpdate::Changed(self.advance_version(changed))))
             }
             Ok(FeedResponse::HistoryExpired) => {
-                info!(self.log, "store: change history has expired; listing the table again";
-                    "table" => %self.table, "known" => after_version);
+                info!(self.log, "store: change history is not available; listing the table again";
+                    "table" => %self.table, "known" => %after_version);
                 self.held_version = None;
                 None
             }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod quantities;
 mod record;
 mod specs;
+mod store_version;
 
 pub use check::{FieldFault, FieldKind, FieldRule, check_fields};
 pub use ids::{
@@ -19,6 +20,7 @@
     AccountLimits, AccountSpec, IdempotencyKeyPolicy, IdempotencyRule, OperatorKeyScope,
     OperatorKeySpec, RecordSpec, RouteRule, RoutingPolicySpec, ServiceSpec, StoreOutagePolicy,
 };
+pub use store_version::StoreVersion;
 
 /// Hash map with a fast, randomly seeded hash function.
 pub type FastMap<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -25,6 +25,8 @@
     pub store_failures: IntCounter,
     /// Version of the configuration that is in force.
     pub config_version: IntGauge,
+    /// Newest era of the store that was seen; 0 if it names none.
+    pub store_era: IntGauge,
     /// Number of known backend servers.
     pub servers: IntGauge,
 }
@@ -63,6 +65,7 @@
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
+            store_era: gauge("mustardrail_store_era", "Newest era of the store."),
             servers: gauge("mustardrail_servers", "Backend servers known."),
             requests,
             request_seconds,
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use limits::MemberCount;
+use model::StoreVersion;
 use observe::{Logger, info, warn};
 use routes::{RouteTable, ServerChange, ServerRecord};
 
@@ -54,7 +55,7 @@
     /// Version of the configuration.
     pub config: Option<u64>,
     /// Store version of the server list.
-    pub servers: Option<u64>,
+    pub servers: Option<StoreVersion>,
     /// Whether the subscriber accepts compressed messages; older versions of the daemon don't.
     #[serde(default)]
     pub accepts_compressed: bool,
@@ -68,16 +69,16 @@
     /// The full list of servers at a store version.
     Servers {
         /// The store version.
-        version: u64,
+        version: StoreVersion,
         /// The servers.
         records: Vec<ServerRecord>,
     },
     /// Changes of the list between two store versions.
     Changes {
         /// Store version before the changes.
-        after: u64,
+        after: StoreVersion,
         /// Store version after the changes.
-        version: u64,
+        version: StoreVersion,
         /// The changes in the order of their occurrence.
         changes: Vec<ServerChange>,
     },
@@ -94,6 +95,9 @@
         /// Turns of the subscriber; `None` from an older version of the daemon.
         #[serde(default)]
         turns: Option<SubscriberTurns>,
+        /// Era of the store in the relay's server list.
+        #[serde(default)]
+        era: u64,
     },
 }
 
@@ -116,8 +120,8 @@
 }
 
 struct HubState {
-    config: Option<LatestMessage>,
-    servers: Option<LatestMessage>,
+    config: Option<LatestMessage<u64>>,
+    servers: Option<LatestMessage<StoreVersion>>,
     /// Invariant: each entry starts at the version at which the previous one ends; the last ends at
     /// the version of `servers`.
     changes: VecDeque<EncodedChanges>,
@@ -145,21 +149,21 @@
 
 /// Encoded changes of the server list between two store versions.
 struct EncodedChanges {
-    after: u64,
-    version: u64,
+    after: StoreVersion,
+    version: StoreVersion,
     message: EncodedMessage,
 }
 
 /// The latest message of one kind: the configuration or the server list.
-struct LatestMessage {
-    version: u64,
+struct LatestMessage<V> {
+    version: V,
     message: RelayMessage,
     /// The encoded message, set when a subscriber first needs it.
     encoded: Option<EncodedMessage>,
 }
 
-impl LatestMessage {
-    fn new(version: u64, message: RelayMessage) -> Self {
+impl<V> LatestMessage<V> {
+    fn new(version: V, message: RelayMessage) -> Self {
         Self { version, message, encoded: None }
     }
 
@@ -189,7 +193,7 @@
 
     /// Returns the changes that a subscriber whose list is at version `held` lacks; `None` if the
     /// change history doesn't reach back to that version, so that it needs the full list.
-    fn changes_after(&self, held: u64) -> Option<Vec<EncodedMessage>> {
+    fn changes_after(&self, held: StoreVersion) -> Option<Vec<EncodedMessage>> {
         let newest = self.servers.as_ref()?.version;
         let missing: Vec<&EncodedChanges> =
             self.changes.iter().filter(|changes| changes.version > held).collect();
@@ -255,7 +259,7 @@
     /// there are no `changes` or no previous list. Keeps the list for later subscribers.
     pub fn publish_servers(
         &self,
-        version: u64,
+        version: StoreVersion,
         records: Vec<ServerRecord>,
         changes: Option<Vec<ServerChange>>,
     ) -> Result<(), PeerError> {
@@ -331,6 +335,7 @@
             is_store_unreachable: state.is_store_unreachable,
             members,
             turns: Some(state.turns(turn, now)),
+            era: state.servers.as_ref().map_or(0, |latest| latest.version.era),
         })
     }
 
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::RevisionNumber;
+use model::{RevisionNumber, StoreVersion};
 use peers::{
     HeldVersions, RelayHub, RelayMessage, RelaySubscription, SubscriberTurns, serve_relay,
 };
@@ -63,7 +63,7 @@
         relay.hub.publish_config(&route_table(7)).expect("a table can be encoded");
         relay
             .hub
-            .publish_servers(100, vec![server_record(1)], None)
+            .publish_servers(StoreVersion::without_era(100), vec![server_record(1)], None)
             .expect("a list can be encoded");
         relay.publish_change(110);
         relay.hub.confirm_config(Instant::now());
@@ -75,7 +75,7 @@
     fn publish_change(&self, version: u64) {
         let changes = vec![ServerChange::Present(server_record(version))];
         let result = self.hub.publish_servers(
-            version,
+            StoreVersion::without_era(version),
             vec![server_record(1), server_record(version)],
             Some(changes),
         );
@@ -88,6 +88,14 @@
         &self,
         config: u64,
         servers: Option<u64>,
+    ) -> (Vec<RelayMessage>, RelayMessage) {
+        self.subscribe_with(config, servers.map(StoreVersion::without_era)).await
+    }
+
+    async fn subscribe_with(
+        &self,
+        config: u64,
+        servers: Option<StoreVersion>,
     ) -> (Vec<RelayMessage>, RelayMessage) {
         let held = HeldVersions { config: Some(config), servers, accepts_compressed: true };
         let mut subscription = RelaySubscription::open(self.address, &held)
@@ -110,8 +118,8 @@
 fn versions_of(received: &[RelayMessage]) -> Vec<(&'static str, u64)> {
     let version = |message: &RelayMessage| match message {
         RelayMessage::Config(table) => ("config", table.version.0),
-        RelayMessage::Servers { version, .. } => ("list", *version),
-        RelayMessage::Changes { version, .. } => ("changes", *version),
+        RelayMessage::Servers { version, .. } => ("list", version.number),
+        RelayMessage::Changes { version, .. } => ("changes", version.number),
         RelayMessage::KeepAlive { age_ms, .. } => ("keep-alive", *age_ms),
     };
     received.iter().map(version).collect()
@@ -182,7 +190,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn subscribers_have_turns_of_their_own_that_are_assigned_again() {
     let relay = TestRelay::start().await;
-    let held = HeldVersions { config: Some(7), servers: Some(110), accepts_compressed: true };
+    let held = HeldVersions {
+        config: Some(7),
+        servers: Some(StoreVersion::without_era(110)),
+        accepts_compressed: true,
+    };
     let mut subscriptions = Vec::new();
     for expected in 1..=3 {
         let mut subscription = RelaySubscription::open(relay.address, &held)
@@ -209,3 +221,31 @@
     assert_eq!(turns.index, 3, "a subscriber keeps its turn");
     assert!(turns.count >= 4);
 }
+
+/// Numbers of different eras can't be compared: a store that returned from an older copy gives
+/// them out again.
+#[tokio::test(flavor = "multi_thread")]
+async fn subscriber_of_an_earlier_era_receives_the_full_list() {
+    let relay = TestRelay::start().await;
+    let in_new_era = |number| StoreVersion { era: 1, number };
+    let records = vec![server_record(1)];
+    relay
+        .hub
+        .publish_servers(in_new_era(90), records.clone(), None)
+        .expect("a list can be encoded");
+    let changes = vec![ServerChange::Present(server_record(2))];
+    relay
+        .hub
+        .publish_servers(in_new_era(100), records, Some(changes))
+        .expect("changes can be encoded");
+    for (held, expected) in [
+        (StoreVersion::without_era(95), vec![("list", 100)]),
+        (StoreVersion::without_era(200), vec![("list", 100)]),
+        (in_new_era(95), vec![("changes", 100)]),
+        (in_new_era(100), vec![]),
+    ] {
+        let (received, keep_alive) = relay.subscribe_with(7, Some(held)).await;
+        assert_eq!(versions_of(&received), expected, "subscriber holds {held}");
+        assert!(matches!(keep_alive, RelayMessage::KeepAlive { era: 1, .. }));
+    }
+}
--- a/components/peers/tests/transfers.rs
+++ b/components/peers/tests/transfers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::RevisionNumber;
+use model::{RevisionNumber, StoreVersion};
 use peers::{HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription, serve_subscriber};
 use routes::{CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, ServiceName};
 use routes::{ServiceInfo, WeightedService};
@@ -51,7 +51,8 @@
 fn new_hub() -> Arc<RelayHub> {
     let hub = Arc::new(RelayHub::new(BUDGET_WINDOW));
     hub.publish_config(&route_table(1, 1)).expect("a table can be encoded");
-    hub.publish_servers(1, Vec::new(), None).expect("a list can be encoded");
+    hub.publish_servers(StoreVersion::without_era(1), Vec::new(), None)
+        .expect("a list can be encoded");
     hub.confirm_config(Instant::now());
     hub.confirm_servers(Instant::now());
     hub
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -83,7 +83,8 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        self.send_with_timeout(method, path, body, self.call_timeout).await
+        let response = self.send_with_timeout(method, path, body, self.call_timeout).await?;
+        Ok((response.status(), response.into_body()))
     }
 
     /// Sends a request with `head_timeout` in place of the client's own timeout, until the head of
@@ -94,16 +95,16 @@
         path: &str,
         body: Bytes,
         head_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let sent = timeout(head_timeout, self.send_request(method, path, body)).await;
         let (sender, response) =
             sent.map_err(|_| store_error(path, &format!("no response within {head_timeout:?}")))??;
-        let status = response.status();
-        let body = self.read_body(path, response.into_body()).await?;
+        let (head, body) = response.into_parts();
+        let body = self.read_body(path, body).await?;
         self.push_idle(sender);
         self.transferred_bytes
             .fetch_add(ESTIMATED_HEAD_BYTES + body.len() as u64, Ordering::Relaxed);
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 
     async fn send_request(
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -25,7 +25,7 @@
     HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun, HostedServer, eventually,
     hosted_config, hosted_route, request_id, standard_routes,
 };
-pub use platform_server::{FakePlatform, StoreBehaviour};
+pub use platform_server::{FakePlatform, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
 pub use soak::{SoakOptions, SoakReport, SoakSize, SoakViolations, run_soak};
 pub use usage::{LinearFit, ProcessUsage, read_metric};
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -14,10 +14,10 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use model::ServerId;
+use model::{ServerId, StoreVersion};
 use platform::{
     RowRange, StoreRequest, TableName, TableRow, VersionedRows, encode_config_row, encode_names,
-    encode_rows, encode_server_row, group_service_name, parse_store_request,
+    encode_rows, encode_server_row, group_service_name, parse_store_request, write_era_header,
 };
 use routes::{RouteTable, ServerRecord};
 use store::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, ServerEntry, ServerState};
@@ -61,9 +61,14 @@
     commit_count: AtomicU64,
 }
 
+/// A copy of the operator and server tables.
+pub struct TableCopy(RowLog);
+
 /// Rows of the operator and server tables.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct RowLog {
+    /// Number of times that the store returned from a copy; no response names it while it is 0.
+    era: u64,
     version: u64,
     /// Changes up to this version are no longer available.
     compacted_version: u64,
@@ -183,6 +188,20 @@
         self.state.put_row(TableName::Operator, encode_config_row(table));
     }
 
+    /// Returns a copy of the operator and server tables.
+    pub fn copy_tables(&self) -> TableCopy {
+        TableCopy(self.state.row_log().clone())
+    }
+
+    /// Replaces the operator and server tables by a copy. Changes since then are gone, and their
+    /// versions are given out again.
+    pub fn return_from_copy(&self, copy: &TableCopy) {
+        let mut log = self.state.row_log();
+        *log = RowLog { era: log.era + 1, ..copy.0.clone() };
+        drop(log);
+        self.state.change_notify.notify_waiters();
+    }
+
     /// Discards the change history, so that daemons with an older version must list all rows again.
     pub fn compact_history(&self) {
         let mut log = self.state.row_log();
@@ -227,7 +246,7 @@
         if !only_present {
             rows.sort_by_key(|row| row.version);
         }
-        VersionedRows { rows, version: self.version }
+        VersionedRows { rows, version: StoreVersion { era: self.era, number: self.version } }
     }
 }
 
@@ -264,7 +283,12 @@
         if let Some(result) = self.fault_result().await {
             return result;
         }
-        self.serve_call(call).await
+        let mut response = self.serve_call(call).await?;
+        let era = self.row_log().era;
+        if era > 0 {
+            write_era_header(response.headers_mut(), era);
+        }
+        Some(response)
     }
 
     /// Returns the result of a call under a fault: a response, or an inner `None` to close the
@@ -352,7 +376,7 @@
         let has_more = rows.len() > limit;
         rows.truncate(limit);
         let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
-        encode_rows(&VersionedRows { rows, version }, has_more)
+        encode_rows(&VersionedRows { rows, version: StoreVersion::without_era(version) }, has_more)
     }
 
     async fn wait_for_changes(
@@ -373,7 +397,7 @@
                 let log = self.row_log();
                 (log.changed_rows(table, after, false), log.compacted_version)
             };
-            if after < compacted_version {
+            if after < compacted_version || after > changed.version.number {
                 return Some(status_response(StatusCode::GONE, String::new()));
             }
             if !changed.rows.is_empty() || Instant::now() >= deadline {
@@ -395,6 +419,7 @@
         }
         match outcome {
             CommitOutcome::Committed(version) => {
+                let version = StoreVersion::without_era(version);
                 Some(ok_response(encode_rows(&VersionedRows { rows: Vec::new(), version }, false)))
             }
             CommitOutcome::Conflict(_) => {
@@ -408,7 +433,8 @@
                         is_deleted: false,
                     })
                 });
-                let current = VersionedRows { rows: rows.collect(), version: 0 };
+                let version = StoreVersion::default();
+                let current = VersionedRows { rows: rows.collect(), version };
                 let mut response = ok_response(encode_rows(&current, false));
                 *response.status_mut() = StatusCode::PRECONDITION_FAILED;
                 Some(response)
