--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -272,8 +272,8 @@
     }
 
     /// Returns up to `count` servers with the lowest estimated cost for a request, lowest first.
-    /// Leaving servers, those whose limit allows no request now, and those in `excluded` are skipped; ejected ones are used if no other is
-    /// left.
+    /// Leaving servers, those whose limit allows no request now, and those in `excluded` are
+    /// skipped; ejected ones are used if no other is left.
     pub fn candidates(
         &self,
         count: usize,
--- a/components/balance/src/placement/turns.rs
+++ b/components/balance/src/placement/turns.rs
@@ -26,7 +26,7 @@
 const MIN_PERIOD: Duration = Duration::from_millis(1);
 const MAX_PERIOD: Duration = Duration::from_secs(3_600);
 
-/// Number of turns assumed by a VM that has had no relay yet.
+/// Number of turns assumed by a VM that has had no relay yet, when many may have just started.
 const ASSUMED_TURNS: u32 = 50;
 
 /// An entry VM's turns to send requests to servers that name a limit.
@@ -133,9 +133,11 @@
         let round = turn * f64::from(turns.count);
         let position = turns.clock_at(now).as_secs_f64() + self.round_offset * round;
         let since_start = (position - turn * f64::from(turns.index)).rem_euclid(round);
-        let is_unused = self.sent_at.is_none_or(|sent_at| {
-            now.saturating_duration_since(sent_at).as_secs_f64() > since_start
-        });
+        // The clock may be corrected, so a turn may seem to start again.
+        let min_gap = since_start.max((round - turn) / 2.0);
+        let is_unused = self
+            .sent_at
+            .is_none_or(|sent_at| now.saturating_duration_since(sent_at).as_secs_f64() > min_gap);
         if is_unused && since_start < turn * USABLE_FRACTION {
             return Duration::ZERO;
         }
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -42,9 +42,6 @@
         if self.version.is_some_and(|held| version < held) {
             return false;
         }
-        if self.version.is_some_and(|held| version.era > held.era) {
-            self.registry.mark_restored(now);
-        }
         self.version = Some(version);
         self.registry.mark_reachable(now);
         true
@@ -118,10 +115,11 @@
             return;
         }
         if let Some(held) = held_version.filter(|held| held.era < version.era) {
-            self.metrics.store_era.set(version.era as i64);
+            servers.registry.mark_restored(now);
             warn!(self.log, "store: returned from an older copy"; "version" => %version,
                 "held" => %held, "listed" => listed.len(), "known" => servers.registry.len());
         }
+        self.metrics.store_era.set(version.era as i64);
         servers.registry.apply_listing(listed, now);
         self.publish_servers(&servers, None);
         self.board.mark_servers_received();
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -179,11 +179,6 @@
         }
     }
 
-    /// Returns the number of backend servers that name a limit.
-    pub fn limited_servers(&self) -> usize {
-        self.services.load().values().map(|service| service.group().limited_servers()).sum()
-    }
-
     fn turns(&self) -> MutexGuard<'_, SendTurns> {
         self.turns.lock().expect("turn lock is never poisoned")
     }
--- a/tests/hosted_restored_store.rs
+++ b/tests/hosted_restored_store.rs
@@ -34,6 +34,14 @@
     .await;
 }
 
+/// Adds a server and sends requests until it has received one.
+async fn add_and_use_server(fleet: &HostedFleet, id: &str) -> HostedServer {
+    let server = start_server(id).await;
+    fleet.platform.put_server(&server.record);
+    wait_until_used(fleet, &server).await;
+    server
+}
+
 /// Sends requests until the server gets none of 30.
 async fn wait_until_unused(fleet: &HostedFleet, server: &HostedServer) {
     eventually("the server gets no more requests", async || {
@@ -52,9 +60,7 @@
     for sequence in 2..2 + LOST_CHANGES {
         fleet.platform.put_server(&ServerRecord { sequence, ..record.clone() });
     }
-    let lost_server = start_server("lost").await;
-    fleet.platform.put_server(&lost_server.record);
-    wait_until_used(fleet, &lost_server).await;
+    let lost_server = add_and_use_server(fleet, "lost").await;
     fleet.platform.remove_server("lost");
     wait_until_unused(fleet, &lost_server).await;
 }
@@ -73,18 +79,14 @@
     let copy = fleet.platform.copy_tables();
     write_lost_changes(&fleet).await;
     return_from_copy(&fleet, &copy).await;
-    let added = start_server("added").await;
-    fleet.platform.put_server(&added.record);
-    wait_until_used(&fleet, &added).await;
+    let _added = add_and_use_server(&fleet, "added").await;
     let leaving = fleet.servers[0].record.clone();
     fleet.platform.put_server(&ServerRecord { is_leaving: true, sequence: 2, ..leaving });
     wait_until_unused(&fleet, &fleet.servers[0]).await;
     // Two returns in a row.
     return_from_copy(&fleet, &copy).await;
     return_from_copy(&fleet, &copy).await;
-    let again = start_server("again").await;
-    fleet.platform.put_server(&again.record);
-    wait_until_used(&fleet, &again).await;
+    let _again = add_and_use_server(&fleet, "again").await;
 }
 
 /// Guards against changes that are missed because a poll continues from a version of the old
@@ -124,9 +126,7 @@
     let copy = fleet.platform.copy_tables();
     write_lost_changes(&fleet).await;
     return_from_copy(&fleet, &copy).await;
-    let added = start_server("added").await;
-    fleet.platform.put_server(&added.record);
-    wait_until_used(&fleet, &added).await;
+    let _added = add_and_use_server(&fleet, "added").await;
 }
 
 /// A configuration in force is never replaced by an older one, also not by that of an older copy.
@@ -144,8 +144,6 @@
     };
     eventually("the new route is served", async || status().await == 200).await;
     return_from_copy(&fleet, &copy).await;
-    let added = start_server("added").await;
-    fleet.platform.put_server(&added.record);
-    wait_until_used(&fleet, &added).await;
+    let _added = add_and_use_server(&fleet, "added").await;
     assert_eq!(status().await, 200);
 }
