--- a/components/balance/src/placement/turns.rs
+++ b/components/balance/src/placement/turns.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: a server in need names a rate that all entry VMs together must keep, and each VM
 //! could send it only one request in many seconds. Independent token buckets would let the whole
-//! fleet send at the same moment. Instead the VMs take turns: the limit is divided into equal parts,
-//! one for each relay, and the VMs of a relay share its part one after the other.
+//! fleet send at the same moment. Instead the VMs take turns: the limit is divided into equal
+//! parts, one for each relay, and the VMs of a relay share its part one after the other.
 
 use std::hash::Hasher;
 use std::time::Duration;
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -411,10 +411,12 @@
         let message = tokio::select! {
             biased;
             message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
-            _ = keep_alive_ticks.tick() => match hub.keep_alive(&updates, turn.index, Instant::now()) {
-                Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
-                None => continue,
-            },
+            _ = keep_alive_ticks.tick() => {
+                match hub.keep_alive(&updates, turn.index, Instant::now()) {
+                    Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
+                    None => continue,
+                }
+            }
         };
         let bytes = message.bytes(held.accepts_compressed);
         socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
--- a/components/peers/src/wire.rs
+++ b/components/peers/src/wire.rs
@@ -18,7 +18,8 @@
 
 use crate::transfer::{MonitoredStream, PeerStream, TransferProgress, monitor};
 
-/// Maximum size of a message, before compression. All records of the largest planned fleet take about 2 MB.
+/// Maximum size of a message, before compression. All records of the largest planned fleet take
+/// about 2 MB.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Size from which a message is compressed.
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -60,8 +60,8 @@
 }
 
 impl HttpClient {
-    /// Creates a client for `address` whose calls time out when the response does not start, or does
-    /// not continue, for `call_timeout`.
+    /// Creates a client for `address` whose calls time out when the response does not start, or
+    /// does not continue, for `call_timeout`.
     pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
         Self {
             address,
