Log what a request whose connection broke consists of, and its server

Cause: a line named neither the content of a request, so that its repeats (new IDs, other VMs) could not be found, nor the server of each attempt. Ruled out: logging the path itself, which may hold callers' data.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -13,7 +13,7 @@
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
 use crate::placement::notices::{FirstReturn, LeavingServers, NoticeEffect, ServerNotice};
 use crate::placement::persistence::decayed;
-use crate::placement::server::{PlacementServer, ServerLoad, ServerState};
+use crate::placement::server::{PlacementServer, ServerIncarnation, ServerLoad, ServerState};
 use crate::placement::turns::{NamedLimit, SendTurns, check_interval};
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
@@ -531,6 +531,11 @@
         self.state(ticket).map(|state| (&state.listed.id, state.listed.address))
     }
 
+    /// Returns the incarnation of a server, if it is still in the group.
+    pub fn incarnation(&self, ticket: ServerTicket) -> Option<ServerIncarnation> {
+        self.state(ticket).map(|state| state.listed.incarnation())
+    }
+
     /// Returns the age of a server's last report.
     pub fn report_age(&self, ticket: ServerTicket, now: Instant) -> Option<Duration> {
         self.state(ticket)?.report_age(now)
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -26,6 +26,6 @@
 pub use load_curve::LoadCurve;
 pub use notices::{FirstReturn, NoticeEffect, ServerNotice};
 pub use persistence::SpeedPersistence;
-pub use server::{PlacementServer, ServerLoad};
+pub use server::{PlacementServer, ServerIncarnation, ServerLoad};
 pub use turns::{AssignedTurns, SendTurns};
 pub use zone_latency::ZoneLatencies;
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -45,7 +45,27 @@
     pub is_leaving: bool,
 }
 
+/// One incarnation of a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerIncarnation {
+    /// Identity of the server.
+    pub id: ServerId,
+    /// Start time of the incarnation, from the list.
+    pub started_at_ms: u64,
+    /// Address on which it listens.
+    pub address: SocketAddr,
+}
+
 impl PlacementServer {
+    /// Returns the incarnation that the entry describes.
+    pub fn incarnation(&self) -> ServerIncarnation {
+        ServerIncarnation {
+            id: self.id.clone(),
+            started_at_ms: self.started_at_ms,
+            address: self.address,
+        }
+    }
+
     /// Whether both entries describe the same incarnation of a server.
     fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -23,6 +23,8 @@
     pub rest_notices: IntCounter,
     /// Requests whose caller disconnected before the response.
     pub caller_disconnects: IntCounter,
+    /// Attempts whose connection broke while the request may have run.
+    pub broken_attempts: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Failed calls to the platform's store.
@@ -74,6 +76,10 @@
                 "Responses by which a backend server gets no requests for some time.",
             ),
             caller_disconnects: counter("mustardrail_callers_left_total", "Callers that left."),
+            broken_attempts: counter(
+                "mustardrail_broken_attempts_total",
+                "Attempts whose connection broke while the request may have run.",
+            ),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -12,16 +12,17 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::Request;
-use hyper::header::HeaderValue;
+use hyper::header::{HOST, HeaderValue};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use balance::{
-    AdmissionDecision, FirstReturn, HEDGE_RETRY_INTERVAL, RequestShape, RequestTimes, ServerTicket,
-    admit, hedge_delay, limited_retry_delay, long_retry_delay, queue_poll_interval,
-    short_retry_delay,
+    AdmissionDecision, FirstReturn, HEDGE_RETRY_INTERVAL, RequestShape, RequestTimes,
+    ServerIncarnation, ServerTicket, admit, hedge_delay, limited_retry_delay, long_retry_delay,
+    queue_poll_interval, short_retry_delay,
 };
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
+use quarantine::Fingerprint;
 use routes::{ExecutionSemantics, HostedRoute, ServiceName, WireInterface};
 
 use crate::dispatch::RequestHead;
@@ -80,6 +81,13 @@
     pub(crate) last_unknown: Option<UnknownReason>,
 }
 
+/// A finished attempt.
+struct FinishedAttempt {
+    /// `None` if the server had left the list.
+    server: Option<ServerIncarnation>,
+    outcome: AttemptOutcome,
+}
+
 /// The flag `AttemptContext::is_sent` of each attempt.
 type SentFlags = Vec<Arc<AtomicBool>>;
 
@@ -119,7 +127,7 @@
             self.route.execution == ExecutionSemantics::Idempotent && self.body.can_send();
         let mut error_response: Option<ServerResponse> = None;
         // Outcome of an attempt that ended while a server for the hedged attempt was selected.
-        let mut early_outcome: Option<Option<AttemptOutcome>> = None;
+        let mut early_outcome: Option<Option<FinishedAttempt>> = None;
         loop {
             let outcome = match early_outcome.take() {
                 Some(outcome) => outcome,
@@ -175,10 +183,10 @@
     /// Records the outcome of an attempt. Returns the response to forward if no retry is needed.
     fn record_outcome(
         &mut self,
-        outcome: AttemptOutcome,
+        finished: FinishedAttempt,
         error_response: &mut Option<ServerResponse>,
     ) -> Option<ServerResponse> {
-        match outcome {
+        match finished.outcome {
             AttemptOutcome::Responded(response) => {
                 let is_failure = response.http.status().is_server_error();
                 if is_failure && self.route.execution == ExecutionSemantics::Idempotent {
@@ -197,6 +205,9 @@
                 None
             }
             AttemptOutcome::Unknown(reason) => {
+                if reason == UnknownReason::ConnectionBroken {
+                    self.record_broken_attempt(finished.server.as_ref());
+                }
                 self.progress.may_have_run = true;
                 self.progress.last_unknown = Some(reason);
                 None
@@ -204,6 +215,23 @@
         }
     }
 
+    /// Records that the connection to a server broke while it may have run the request.
+    fn record_broken_attempt(&self, server: Option<&ServerIncarnation>) {
+        // A body that was streamed is no longer known.
+        if let Some(content) = self.fingerprint() {
+            let id = self.request_id.to_str().unwrap_or("");
+            self.service.record_broken_attempt(id, content, server);
+        }
+    }
+
+    /// Returns the fingerprint of the request; `None` unless its whole body is in memory.
+    fn fingerprint(&self) -> Option<Fingerprint> {
+        let body = self.body.whole()?;
+        let host = self.head.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
+        let target = self.head.target.path_and_query().map_or("", |target| target.as_str());
+        Some(Fingerprint::new(self.head.method.as_str(), host, target, body))
+    }
+
     /// Whether the request may be sent again after a failure.
     fn may_retry(&self) -> bool {
         let is_safe =
@@ -329,7 +357,7 @@
         server: SelectedServer,
         reuse_policy: ReusePolicy,
         sent_flags: &mut SentFlags,
-    ) -> impl Future<Output = AttemptOutcome> + use<> {
+    ) -> impl Future<Output = FinishedAttempt> + use<> {
         let reuse_policy = match self.route.execution {
             ExecutionSemantics::Idempotent => reuse_policy,
             ExecutionSemantics::Once => ReusePolicy::NoRecentResponse,
@@ -351,7 +379,11 @@
             deadline: self.deadline,
             is_sent,
         };
-        run_attempt(server.lease, context, request)
+        let incarnation = server.lease.incarnation();
+        async move {
+            let outcome = run_attempt(server.lease, context, request).await;
+            FinishedAttempt { server: incarnation, outcome }
+        }
     }
 
     fn refusal_without_response(&self) -> HostedRefusal {
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -9,11 +9,12 @@
 
 use balance::{
     AssignedTurns, LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape,
-    SendTurns, ServerNotice, ServerTicket, StartedRequest,
+    SendTurns, ServerIncarnation, ServerNotice, ServerTicket, StartedRequest,
 };
 use limits::{AttemptBudget, AttemptLimits};
 use model::{FastMap, RequestRate, ServerId};
 use observe::{HostedMetrics, Logger, info, warn};
+use quarantine::Fingerprint;
 use routes::{ServerRecord, ServiceName};
 
 use crate::pool::ConnectionPool;
@@ -78,6 +79,20 @@
         }
     }
 
+    /// Records that the connection to a server broke while it may have run a request.
+    pub(crate) fn record_broken_attempt(
+        &self,
+        request_id: &str,
+        content: Fingerprint,
+        server: Option<&ServerIncarnation>,
+    ) {
+        self.metrics.broken_attempts.inc();
+        info!(self.log, "attempt: connection broke while the request may have run";
+            "request" => request_id, "content" => %content, "service" => &*self.name.0,
+            "server" => server.map(|server| server.id.as_str()),
+            "started_at_ms" => server.map(|server| server.started_at_ms));
+    }
+
     /// Locks and returns the service's servers.
     pub(crate) fn group(&self) -> MutexGuard<'_, PlacementGroup> {
         self.group.lock().expect("group lock is never poisoned")
@@ -300,6 +315,11 @@
         self.service.group().id_and_address(self.ticket()).map(|(id, _)| id.clone())
     }
 
+    /// Returns the server's incarnation, or `None` if the server is no longer listed.
+    pub(crate) fn incarnation(&self) -> Option<ServerIncarnation> {
+        self.service.group().incarnation(self.ticket())
+    }
+
     /// Counts the request against the server's limit, right before it is sent.
     pub(crate) fn record_sent(&self) {
         self.service.group().record_sent(self.ticket(), Instant::now());
--- a/components/proxy/src/request_body.rs
+++ b/components/proxy/src/request_body.rs
@@ -72,6 +72,15 @@
         Ok(body)
     }
 
+    /// Returns the whole body; `None` if it is or was streamed.
+    pub(crate) fn whole(&self) -> Option<&[u8]> {
+        match self {
+            Self::Empty => Some(&[]),
+            Self::Buffered(bytes) => Some(bytes),
+            Self::Streamed(..) | Self::Sent => None,
+        }
+    }
+
     /// Returns the number of bytes in memory.
     pub(crate) fn buffered_bytes(&self) -> usize {
         match self {
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -1,7 +1,8 @@
 //! Fake servers with the wire interface of the hosting platform.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 use balance::ServerLoad;
@@ -21,6 +23,7 @@
 
 use crate::backend::{TRUNCATED_BYTES, truncated_response};
 use crate::hosted::HEALTH_PATH;
+use crate::platform_server::ServerList;
 use crate::web::{WebBody, WebServer, never};
 
 /// Concurrent requests that each server reports as its capacity. The fake does not enforce it.
@@ -58,6 +61,9 @@
     /// Runs one request and closes the connection without a response, then behaves as
     /// `AddressReused`.
     RunThenAddressReused,
+    /// Runs each request for this time. At the end of a request whose target or body contains the
+    /// text, the server crashes.
+    CrashOn(&'static str, Duration),
 }
 
 /// A request that a fake server started to run.
@@ -81,7 +87,8 @@
 pub struct HostedServer {
     /// Its entry in the platform's server list.
     pub record: ServerRecord,
-    server: WebServer,
+    /// `None` while the server is crashed.
+    server: Mutex<Option<WebServer>>,
     state: Arc<ServerState>,
 }
 
@@ -103,6 +110,9 @@
     health_status: Mutex<StatusCode>,
     runs: Mutex<Vec<HostedRun>>,
     request_count: AtomicU64,
+    /// When the server crashed.
+    crashed_at: Mutex<Vec<Instant>>,
+    crash_notify: Notify,
 }
 
 impl HostedServer {
@@ -120,13 +130,11 @@
             health_status: Mutex::new(StatusCode::OK),
             runs: Mutex::default(),
             request_count: AtomicU64::new(0),
+            crashed_at: Mutex::default(),
+            crash_notify: Notify::new(),
         });
-        let handler_state = Arc::clone(&state);
-        let server = WebServer::start(move |request| {
-            let state = Arc::clone(&handler_state);
-            async move { state.handle(request).await }
-        })
-        .await;
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = serve(&state, any_port).await.expect("a loopback port is free");
         let record = ServerRecord {
             id: id.parse().expect("the name is valid"),
             started_at_ms: 1,
@@ -138,7 +146,43 @@
             is_leaving: false,
             slow_start_remaining: Duration::ZERO,
         };
-        Self { record, server, state }
+        Self { record, server: Mutex::new(Some(server)), state }
+    }
+
+    /// Stops the server whenever it crashes, and starts it `downtime` later at the same address and
+    /// with the same ID as a new incarnation, until the future is dropped.
+    pub async fn restart_after_crashes(&self, list: ServerList, downtime: Duration) {
+        let mut record = self.record.clone();
+        loop {
+            self.state.crash_notify.notified().await;
+            self.crash();
+            sleep(downtime).await;
+            let server = serve(&self.state, record.address).await;
+            *self.web_server() = Some(server.expect("the address of a crashed server is free"));
+            record.started_at_ms += 1;
+            record.sequence = 1;
+            list.put_server(&record);
+        }
+    }
+
+    /// Ends the server with all of its connections and requests.
+    pub fn crash(&self) {
+        self.state.crashed_at.lock().expect("crash lock is never poisoned").push(Instant::now());
+        *self.web_server() = None;
+    }
+
+    /// Makes the server crash as if by itself. It restarts if `restart_after_crashes` runs.
+    pub fn crash_and_restart(&self) {
+        self.state.crash_notify.notify_one();
+    }
+
+    /// When the server crashed.
+    pub fn crashed_at(&self) -> Vec<Instant> {
+        self.state.crashed_at.lock().expect("crash lock is never poisoned").clone()
+    }
+
+    fn web_server(&self) -> MutexGuard<'_, Option<WebServer>> {
+        self.server.lock().expect("server lock is never poisoned")
     }
 
     /// Changes how subsequent requests are handled.
@@ -189,10 +233,20 @@
 
     /// Number of accepted connections.
     pub fn connection_count(&self) -> u64 {
-        self.server.connection_count.load(Ordering::SeqCst)
+        let server = self.web_server();
+        server.as_ref().map_or(0, |server| server.connection_count.load(Ordering::SeqCst))
     }
 }
 
+async fn serve(state: &Arc<ServerState>, address: SocketAddr) -> std::io::Result<WebServer> {
+    let handler_state = Arc::clone(state);
+    let handler = move |request| {
+        let state = Arc::clone(&handler_state);
+        async move { state.handle(request).await }
+    };
+    WebServer::start_at(address, handler).await
+}
+
 /// Marks a run as cancelled if dropped before the run is finished.
 struct RunGuard<'a> {
     state: &'a ServerState,
@@ -200,6 +254,15 @@
     is_finished: bool,
 }
 
+impl RunGuard<'_> {
+    /// Whether the target or the body of the request contains a text.
+    fn contains(&self, text: &str) -> bool {
+        let runs = self.state.runs.lock().expect("run lock is never poisoned");
+        let run = &runs[self.index];
+        run.target.contains(text) || String::from_utf8_lossy(&run.body).contains(text)
+    }
+}
+
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
         if !self.is_finished {
@@ -259,9 +322,16 @@
             return Some(response);
         }
         let mut guard = self.record_run(request).await?;
-        if let HostedBehaviour::Run(run_time) = behaviour {
+        if let HostedBehaviour::Run(run_time) | HostedBehaviour::CrashOn(_, run_time) = behaviour {
             sleep(run_time).await;
         }
+        if let HostedBehaviour::CrashOn(text, _) = behaviour
+            && guard.contains(text)
+        {
+            self.crash_notify.notify_one();
+            // The crash ends this request.
+            std::future::pending::<()>().await;
+        }
         guard.is_finished = true;
         let text = Bytes::from(format!("{} ran it", self.id));
         let mut response = match behaviour {
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -61,6 +61,17 @@
     commit_count: AtomicU64,
 }
 
+/// Writes entries of a fake platform's server list.
+#[derive(Clone)]
+pub struct ServerList(Arc<PlatformState>);
+
+impl ServerList {
+    /// Writes an entry.
+    pub fn put_server(&self, record: &ServerRecord) {
+        self.0.put_row(TableName::Servers, encode_server_row(record));
+    }
+}
+
 /// A copy of the operator and server tables.
 pub struct TableCopy(RowLog);
 
@@ -155,7 +166,12 @@
 
     /// Writes an entry of the server list.
     pub fn put_server(&self, record: &ServerRecord) {
-        self.state.put_row(TableName::Servers, encode_server_row(record));
+        self.server_list().put_server(record);
+    }
+
+    /// Returns the server list, for tasks that write to it.
+    pub fn server_list(&self) -> ServerList {
+        ServerList(Arc::clone(&self.state))
     }
 
     /// Writes a row with an unchecked value.
--- a/components/testkit/src/web.rs
+++ b/components/testkit/src/web.rs
@@ -38,7 +38,17 @@
         F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
         R: Future<Output = Option<Response<WebBody>>> + Send + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(any_port, handler).await.expect("a loopback port is free")
+    }
+
+    /// Serves on `address` like `start`.
+    pub(crate) async fn start_at<F, R>(address: SocketAddr, handler: F) -> std::io::Result<Self>
+    where
+        F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+        R: Future<Output = Option<Response<WebBody>>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr().expect("a bound socket has an address");
         let connection_count = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&connection_count);
@@ -63,7 +73,7 @@
                 });
             }
         });
-        Self { address, connection_count, task }
+        Ok(Self { address, connection_count, task })
     }
 }
 
--- a/tests/hosted_logs.rs
+++ b/tests/hosted_logs.rs
@@ -101,3 +101,27 @@
         assert!(text.contains("mustardrail_request_seconds_count 1"), "{text}");
     }
 }
+
+/// Repeats of a request have new IDs and reach several VMs; the log shows that they are the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_identifies_repeats_of_a_request_whose_connection_broke() {
+    let fleet = start_fleet(3).await;
+    fleet.set_behaviour(HostedBehaviour::RunAndDisconnect);
+    let repeats = [fleet.order_request("one stone"), fleet.order_request("one stone")];
+    let other = fleet.order_request("two stones");
+    let mut contents = Vec::new();
+    for request in repeats.iter().chain([&other]) {
+        assert_eq!(call(request).await.expect("the daemon responds").status, 502);
+        let text = format!("\"request\":\"{}\"", request_id(request));
+        eventually("the broken attempt is logged", async || {
+            !fleet.daemon.log_lines_containing(&text).is_empty()
+        })
+        .await;
+        let line = fleet.daemon.log_lines_containing(&text).remove(0);
+        assert!(line["server"].as_str().is_some_and(|server| server.starts_with("s-")));
+        assert_eq!(line["started_at_ms"].as_u64(), Some(1));
+        contents.push(line["content"].as_str().expect("the content is a text").to_owned());
+    }
+    assert_eq!(contents[0], contents[1], "repeats of one request");
+    assert_ne!(contents[0], contents[2], "another request");
+}
