--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -26,7 +26,7 @@
     RawConnection, RawRequest, RawServer, eventually, hosted_config, hosted_route, load_header,
     not_run_header, request_id, standard_routes,
 };
-pub use platform_server::{FakePlatform, StoreBehaviour, TableCopy};
+pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
 pub use soak::{SoakOptions, SoakReport, SoakSize, SoakViolations, run_soak};
 pub use usage::{ProcessUsage, read_metric};
