Refuse a request that has crashed three servers, at every VM

Cause: no state outlived one request. Each VM saw one or two of the crashes, and each repeat was a new request. Change: a VM whose connection breaks checks whether the server has crashed (it refuses connections while another server is reachable, or is replaced in the list) and reports it with the content of the request. VMs exchange reports over the relay connections, relays among themselves. A response of a server clears a request.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -536,6 +536,26 @@
         self.state(ticket).map(|state| state.listed.incarnation())
     }
 
+    /// Whether an incarnation is leaving, by the list or by its own word.
+    pub fn is_incarnation_leaving(&self, incarnation: &ServerIncarnation) -> bool {
+        let states = self.servers.iter().map(|(_, state)| state);
+        let mut same = states.filter(|state| state.listed.incarnation() == *incarnation);
+        same.any(ServerState::is_leaving)
+    }
+
+    /// Whether the list has another incarnation with the identity or the address of a server.
+    pub fn is_replaced(&self, incarnation: &ServerIncarnation) -> bool {
+        self.servers.iter().map(|(_, state)| state.listed.incarnation()).any(|listed| {
+            listed != *incarnation
+                && (listed.id == incarnation.id || listed.address == incarnation.address)
+        })
+    }
+
+    /// Returns the addresses of all servers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.servers.iter().map(|(_, state)| state.listed.address).collect()
+    }
+
     /// Returns the age of a server's last report.
     pub fn report_age(&self, ticket: ServerTicket, now: Instant) -> Option<Duration> {
         self.state(ticket)?.report_age(now)
--- /dev/null
+++ b/components/daemon/src/hosted/crash_exchange.rs
@@ -0,0 +1,77 @@
+//! Exchanges crash reports between relays, so that the subscribers of all of them know each report.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::time::{Instant, sleep};
+
+use model::jittered;
+use observe::{Logger, info};
+use peers::{HeldVersions, PeerError, RelayMessage, RelaySubscription};
+use quarantine::CrashBoard;
+use settings::HostedTiming;
+
+/// Exchanges crash reports with one other relay.
+pub(crate) struct CrashExchange {
+    relay: SocketAddr,
+    crashes: Arc<CrashBoard>,
+    timing: HostedTiming,
+    log: Logger,
+}
+
+impl CrashExchange {
+    pub(crate) fn new(
+        relay: SocketAddr,
+        crashes: Arc<CrashBoard>,
+        timing: HostedTiming,
+        log: Logger,
+    ) -> Self {
+        Self { relay, crashes, timing, log }
+    }
+
+    /// Exchanges reports until the future is dropped. Connects again whenever the connection ends.
+    pub(crate) async fn run(self) {
+        let mut pause = self.timing.subscription_retry_pause;
+        loop {
+            let held = HeldVersions {
+                exchanges_crash_reports: true,
+                is_relay: true,
+                ..HeldVersions::default()
+            };
+            let handshake_timeout = self.timing.relay_handshake_timeout;
+            let error = match RelaySubscription::open(self.relay, &held, handshake_timeout).await {
+                Ok(connection) => {
+                    pause = self.timing.subscription_retry_pause;
+                    self.exchange(connection).await
+                }
+                Err(error) => error,
+            };
+            info!(self.log, "relay: exchange of crash reports failed; connecting again";
+                "relay" => %self.relay, "reason" => %error);
+            sleep(jittered(pause)).await;
+            pause = self.timing.last_relay_grace.min(pause * 2);
+        }
+    }
+
+    async fn exchange(&self, mut connection: RelaySubscription) -> PeerError {
+        let mut crash_feed = self.crashes.feed();
+        loop {
+            let result = tokio::select! {
+                received = connection.next(self.timing.relay_silence_timeout) => {
+                    received.map(|message| self.apply(message))
+                }
+                reports = crash_feed.next() => connection.send_crash_reports(reports).await,
+            };
+            if let Err(error) = result {
+                return error;
+            }
+        }
+    }
+
+    fn apply(&self, message: RelayMessage) {
+        // An older version of the daemon takes this relay for a subscriber and sends other messages.
+        if let RelayMessage::CrashReports(reports) = message {
+            self.crashes.merge(&reports, Instant::now());
+        }
+    }
+}
--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -4,6 +4,7 @@
 //! The configuration and the backend servers come from the platform's store. All other decisions
 //! are made locally, from what this entry VM observes.
 
+mod crash_exchange;
 mod platform_view;
 mod platform_watcher;
 mod readiness;
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -12,6 +12,7 @@
 use observe::{HostedMetrics, Logger, info, warn};
 use peers::{HeldVersions, PeerError, RelayHub};
 use proxy::HostedServices;
+use quarantine::CrashBoard;
 use routes::{RouteTable, ServerChange, ServerRegistry};
 
 /// Where a configuration came from.
@@ -54,6 +55,7 @@
     pub(crate) services: Arc<HostedServices>,
     /// Sends updates to subscribers; `None` unless this VM is a relay.
     pub(crate) hub: Option<Arc<RelayHub>>,
+    pub(crate) crashes: Arc<CrashBoard>,
     pub(crate) metrics: HostedMetrics,
     pub(crate) log: Logger,
     servers: Mutex<ServerListState>,
@@ -66,6 +68,7 @@
         board: Arc<HostedBoard>,
         services: Arc<HostedServices>,
         hub: Option<Arc<RelayHub>>,
+        crashes: Arc<CrashBoard>,
         metrics: HostedMetrics,
         lapsed_retention: Duration,
         log: Logger,
@@ -75,6 +78,7 @@
             board,
             services,
             hub,
+            crashes,
             metrics,
             log,
             servers: Mutex::new(ServerListState { registry, version: None }),
@@ -85,7 +89,13 @@
     /// Versions held, which a relay need not send again.
     pub(crate) fn held_versions(&self) -> HeldVersions {
         let config = self.board.version().map(|version| version.0);
-        HeldVersions { config, servers: self.servers_version(), accepts_compressed: true }
+        HeldVersions {
+            config,
+            servers: self.servers_version(),
+            accepts_compressed: true,
+            exchanges_crash_reports: true,
+            is_relay: false,
+        }
     }
 
     /// Version of the store that the list of servers reflects.
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -108,11 +108,24 @@
         mut stale_allowed_until: Option<Instant>,
     ) -> SubscriptionEnd {
         let mut delays = MessageDelay::new(self.timing.keep_alive_interval);
+        let mut crash_feed = self.view.crashes.feed();
+        // Older versions of the daemon don't exchange crash reports.
+        let mut exchanges_crash_reports = false;
         loop {
-            let message = match subscription.next(self.timing.relay_silence_timeout).await {
+            let received = tokio::select! {
+                received = subscription.next(self.timing.relay_silence_timeout) => received,
+                reports = crash_feed.next(), if exchanges_crash_reports => {
+                    match subscription.send_crash_reports(reports).await {
+                        Ok(()) => continue,
+                        Err(error) => Err(error),
+                    }
+                }
+            };
+            let message = match received {
                 Ok(message) => message,
                 Err(error) => return SubscriptionEnd::Failed(error),
             };
+            exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
             if let RelayMessage::KeepAlive { age_ms, era, clock_ms, .. } = message {
@@ -158,6 +171,7 @@
                 }
                 view.apply_changes(version, changes);
             }
+            RelayMessage::CrashReports(reports) => view.crashes.merge(&reports, Instant::now()),
             RelayMessage::KeepAlive { is_store_unreachable, members, turns, .. } => {
                 view.set_store_unreachable(is_store_unreachable);
                 let relays = self.relays.len();
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -16,8 +16,10 @@
 use peers::{RelayHub, RelayTiming, serve_relay};
 use platform::PlatformStore;
 use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY};
+use quarantine::{CrashBoard, CrashLimits};
 use settings::{HostedSettings, HostedTiming, SettingsError, load_hosted_settings};
 
+use crate::hosted::crash_exchange::CrashExchange;
 use crate::hosted::platform_view::PlatformView;
 use crate::hosted::platform_watcher::{PlatformWatcher, ReadAges, StoreCallConfig};
 use crate::hosted::readiness::{ReadinessContext, serve_readiness};
@@ -74,7 +76,10 @@
     let context =
         ReadinessContext { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() };
     background.spawn(serve_readiness(readiness, context.clone()));
-    let hub = start_relay(&settings, &timing, &mut background, &log).await?;
+    let crash_limits =
+        CrashLimits { settle_time: timing.crash_settle_time, ..CrashLimits::default() };
+    let crashes = Arc::new(CrashBoard::new(crash_limits));
+    let hub = start_relay(&settings, &timing, &crashes, &mut background, &log).await?;
     if let Some(address) = settings.metrics {
         // The metrics port is the same in every deployment, so another process may already use it.
         match listen(address, "metrics").await {
@@ -90,6 +95,7 @@
         Arc::clone(&board),
         Arc::clone(&services),
         hub,
+        Arc::clone(&crashes),
         metrics.clone(),
         timing.lapsed_entry_retention,
         log.clone(),
@@ -105,6 +111,7 @@
     let handler = Arc::new(HostedHandler::new(
         Arc::clone(&board),
         services,
+        crashes,
         platform::wire_interface(),
         metrics,
         HostedOptions {
@@ -137,6 +144,7 @@
 async fn start_relay(
     settings: &HostedSettings,
     timing: &HostedTiming,
+    crashes: &Arc<CrashBoard>,
     background: &mut JoinSet<()>,
     log: &Logger,
 ) -> Result<Option<Arc<RelayHub>>, DaemonError> {
@@ -151,7 +159,12 @@
         max_state_age: timing.max_relay_state_age,
         share_validity: timing.relay_silence_timeout,
     };
-    let hub = Arc::new(RelayHub::new(relay_timing, settings.first_start));
+    let hub = Arc::new(RelayHub::new(relay_timing, settings.first_start, Arc::clone(crashes)));
+    for relay in settings.relays.iter().filter(|relay| settings.relay < **relay) {
+        // The other one of two relays connects to this one.
+        let exchange = CrashExchange::new(*relay, Arc::clone(crashes), *timing, log.clone());
+        background.spawn(exchange.run());
+    }
     background.spawn(serve_relay(listener, Arc::clone(&hub), log.clone()));
     Ok(Some(hub))
 }
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -25,6 +25,12 @@
     pub caller_disconnects: IntCounter,
     /// Attempts whose connection broke while the request may have run.
     pub broken_attempts: IntCounter,
+    /// Backend servers that crashed while they may have run a request.
+    pub server_crashes: IntCounter,
+    /// Requests (by content) that are quarantined because they crash their servers.
+    pub quarantined: IntGauge,
+    /// Requests refused because they are quarantined.
+    pub quarantine_refusals: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Failed calls to the platform's store.
@@ -80,6 +86,18 @@
                 "mustardrail_broken_attempts_total",
                 "Attempts whose connection broke while the request may have run.",
             ),
+            server_crashes: counter(
+                "mustardrail_server_crashes_total",
+                "Backend servers that crashed while they may have run a request.",
+            ),
+            quarantined: gauge(
+                "mustardrail_quarantined",
+                "Requests by content that are quarantined because they crash their servers.",
+            ),
+            quarantine_refusals: counter(
+                "mustardrail_quarantine_refusals_total",
+                "Requests refused because they are quarantined.",
+            ),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -20,6 +20,7 @@
 use limits::{MemberId, ShareLedger, share_divisor};
 use model::StoreVersion;
 use observe::{Logger, info, warn};
+use quarantine::{CrashBoard, CrashReport};
 use routes::{RouteTable, ServerChange, ServerRecord};
 
 use crate::transfer::PeerStream;
@@ -53,6 +54,19 @@
     /// Whether the subscriber accepts compressed messages; older versions of the daemon don't.
     #[serde(default)]
     pub accepts_compressed: bool,
+    /// Whether the subscriber exchanges crash reports; older versions of the daemon don't.
+    #[serde(default)]
+    pub exchanges_crash_reports: bool,
+    /// Whether the subscriber is another relay, which only exchanges crash reports.
+    #[serde(default)]
+    pub is_relay: bool,
+}
+
+/// A message from a subscriber to a relay that exchanges crash reports.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum SubscriberMessage {
+    /// Crash reports, of which the relay may hold some already.
+    CrashReports(Vec<CrashReport>),
 }
 
 /// A message from a relay to a subscriber.
@@ -76,6 +90,9 @@
         /// The changes in the order of their occurrence.
         changes: Vec<ServerChange>,
     },
+    /// Crash reports, of which the subscriber may hold some already. Between relays, an empty list
+    /// is the keep-alive message.
+    CrashReports(Vec<CrashReport>),
     /// Keep-alive message.
     #[serde(rename = "Alive")]
     KeepAlive {
@@ -134,6 +151,7 @@
     timing: RelayTiming,
     /// Membership of the relay itself.
     own_membership: Membership,
+    crashes: Arc<CrashBoard>,
     state: Mutex<HubState>,
     updates: broadcast::Sender<EncodedMessage>,
 }
@@ -251,9 +269,9 @@
 }
 
 impl RelayHub {
-    /// Creates a hub without subscribers. `is_first_start` says that no relay of the fleet has ever
-    /// run before.
-    pub fn new(timing: RelayTiming, is_first_start: bool) -> Self {
+    /// Creates a hub without subscribers, which exchanges the reports on `crashes` with them.
+    /// `is_first_start` says that no relay of the fleet has ever run before.
+    pub fn new(timing: RelayTiming, is_first_start: bool, crashes: Arc<CrashBoard>) -> Self {
         let now = Instant::now();
         let retention = timing.budget_window + timing.share_validity;
         let mut state = HubState {
@@ -272,6 +290,7 @@
         Self {
             timing,
             own_membership,
+            crashes,
             state: Mutex::new(state),
             updates: broadcast::Sender::new(SUBSCRIBER_QUEUE_CAPACITY),
         }
@@ -433,6 +452,15 @@
         Ok((missing, self.updates.subscribe()))
     }
 
+    /// Applies a message of a subscriber and its size.
+    fn apply(&self, (message, _): (SubscriberMessage, u64)) {
+        match message {
+            SubscriberMessage::CrashReports(reports) => {
+                self.crashes.merge(&reports, Instant::now());
+            }
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, HubState> {
         self.state.lock().expect("hub lock is never poisoned")
     }
@@ -471,6 +499,9 @@
     let (mut socket, held) = timeout(hub.timing.handshake_timeout, accept_subscriber(stream))
         .await
         .map_err(|_| PeerError::TimedOut)??;
+    if held.is_relay {
+        return exchange_crash_reports(socket, hub).await;
+    }
     let member = hub.join();
     let (missing, mut updates) = hub.subscribe(&held)?;
     let mut state = Vec::new();
@@ -482,10 +513,18 @@
         socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
     }
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut crash_feed = hub.crashes.feed();
     loop {
         let message = tokio::select! {
             biased;
             message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
+            reports = crash_feed.next(), if held.exchanges_crash_reports => {
+                EncodedMessage::new(&RelayMessage::CrashReports(reports))?
+            }
+            received = socket.receive(), if held.exchanges_crash_reports => {
+                hub.apply(received?);
+                continue;
+            }
             _ = keep_alive_ticks.tick() => {
                 match hub.keep_alive(&updates, &member.membership, Instant::now()) {
                     Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
@@ -498,6 +537,28 @@
     }
 }
 
+/// Exchanges crash reports with another relay until the connection ends.
+async fn exchange_crash_reports(
+    mut socket: CborSocket,
+    hub: &RelayHub,
+) -> Result<Infallible, PeerError> {
+    let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut crash_feed = hub.crashes.feed();
+    loop {
+        let reports = tokio::select! {
+            biased;
+            reports = crash_feed.next() => reports,
+            received = socket.receive() => {
+                hub.apply(received?);
+                continue;
+            }
+            _ = keep_alive_ticks.tick() => Vec::new(),
+        };
+        let message = EncodedMessage::new(&RelayMessage::CrashReports(reports))?;
+        socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await?;
+    }
+}
+
 async fn accept_subscriber(
     stream: impl PeerStream + 'static,
 ) -> Result<(CborSocket, HeldVersions), PeerError> {
@@ -557,4 +618,10 @@
         let (message, _) = self.socket.receive_unless_silent(silence_timeout).await?;
         Ok(message)
     }
+
+    /// Sends crash reports; fails if the relay accepts no byte for too long.
+    pub async fn send_crash_reports(&mut self, reports: Vec<CrashReport>) -> Result<(), PeerError> {
+        let message = EncodedMessage::new(&SubscriberMessage::CrashReports(reports))?;
+        self.socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await
+    }
 }
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -62,12 +62,12 @@
 
 impl TestRelay {
     async fn start() -> Self {
-        Self::start_with(RelayHub::new(TIMING, true)).await
+        Self::start_with(RelayHub::new(TIMING, true, Arc::default())).await
     }
 
     /// Starts a relay that may have run before.
     async fn start_again() -> Self {
-        Self::start_with(RelayHub::new(TIMING, false)).await
+        Self::start_with(RelayHub::new(TIMING, false, Arc::default())).await
     }
 
     async fn start_with(hub: RelayHub) -> Self {
@@ -113,7 +113,12 @@
         config: u64,
         servers: Option<StoreVersion>,
     ) -> (Vec<RelayMessage>, RelayMessage) {
-        let held = HeldVersions { config: Some(config), servers, accepts_compressed: true };
+        let held = HeldVersions {
+            config: Some(config),
+            servers,
+            accepts_compressed: true,
+            ..HeldVersions::default()
+        };
         let mut subscription =
             RelaySubscription::open(self.address, &held, TIMING.handshake_timeout)
                 .await
@@ -137,6 +142,7 @@
         RelayMessage::Config(table) => ("config", table.version.0),
         RelayMessage::Servers { version, .. } => ("list", version.number),
         RelayMessage::Changes { version, .. } => ("changes", version.number),
+        RelayMessage::CrashReports(reports) => ("crash reports", reports.len() as u64),
         RelayMessage::KeepAlive { age_ms, .. } => ("keep-alive", *age_ms),
     };
     received.iter().map(version).collect()
@@ -242,6 +248,7 @@
         config: Some(7),
         servers: Some(StoreVersion::without_era(110)),
         accepts_compressed: true,
+        ..HeldVersions::default()
     };
     let mut subscriptions = Vec::new();
     for expected in 1..=3 {
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -240,6 +240,7 @@
     context: &AttemptContext,
     exchange: Exchange,
 ) -> AttemptOutcome {
+    lease.service.contacts.record(exchange.connection.address(), Instant::now());
     let status = exchange.response.status().as_u16();
     let headers = exchange.response.headers();
     let report = (context.wire.read_load)(headers);
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -5,8 +5,8 @@
 //! when the first server takes too long. Once an attempt has reached a server, every further one
 //! counts against the service's budget of extra attempts.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -30,6 +30,7 @@
     AttemptContext, AttemptOutcome, NotRunReason, RESPONSE_GRACE, ServerResponse, UnknownReason,
     run_attempt,
 };
+use crate::hosted::crash_detector::{BrokenServer, CrashDetector};
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::selection::{SelectedServer, SelectionContext, select_server};
 use crate::hosted::service::HostedService;
@@ -45,10 +46,13 @@
     pub(crate) metrics: &'a HostedMetrics,
     pub(crate) route: &'a HostedRoute,
     pub(crate) service: &'a Arc<HostedService>,
+    pub(crate) crashes: &'a Arc<CrashDetector>,
     pub(crate) health_path: Option<&'a str>,
     pub(crate) request_id: HeaderValue,
     pub(crate) head: RequestHead,
     pub(crate) body: RequestBody,
+    /// Fingerprint of the request, once it is needed.
+    pub(crate) fingerprint: OnceLock<Option<Fingerprint>>,
     pub(crate) shape: RequestShape,
     /// Earlier of the route's timeout and the caller's deadline.
     pub(crate) deadline: Instant,
@@ -120,7 +124,10 @@
         sent_flags: &mut SentFlags,
     ) -> Result<ServerResponse, HostedRefusal> {
         let mut attempts = FuturesUnordered::new();
+        self.check_quarantine()?;
         let server = self.acquire_server().await?;
+        // Servers may have crashed while the request was queued.
+        self.check_quarantine()?;
         let mut hedge_at = self.hedge_at(&server);
         attempts.push(self.start_attempt(server, ReusePolicy::Any, sent_flags));
         let mut may_hedge =
@@ -134,6 +141,10 @@
                 None => tokio::select! {
                     outcome = attempts.next() => outcome,
                     () = sleep_until(hedge_at), if may_hedge && attempts.len() == 1 => {
+                        if self.is_suspected() {
+                            may_hedge = false;
+                            continue;
+                        }
                         if !self.may_send_again() {
                             // The budget may allow a hedged attempt later.
                             hedge_at = Instant::now() + HEDGE_RETRY_INTERVAL;
@@ -170,6 +181,9 @@
                 true => self.acquire_another_server().await,
                 false => Some(self.acquire_server().await?),
             };
+            if let Err(refusal) = self.check_quarantine() {
+                return error_response.ok_or(refusal);
+            }
             match server.filter(|_| self.take_extra()) {
                 Some(server) => {
                     let reuse_policy = self.retry_reuse_policy();
@@ -188,6 +202,7 @@
     ) -> Option<ServerResponse> {
         match finished.outcome {
             AttemptOutcome::Responded(response) => {
+                self.record_response();
                 let is_failure = response.http.status().is_server_error();
                 if is_failure && self.route.execution == ExecutionSemantics::Idempotent {
                     self.progress.may_have_run = true;
@@ -218,14 +233,62 @@
     /// Records that the connection to a server broke while it may have run the request.
     fn record_broken_attempt(&self, server: Option<&ServerIncarnation>) {
         // A body that was streamed is no longer known.
-        if let Some(content) = self.fingerprint() {
-            let id = self.request_id.to_str().unwrap_or("");
-            self.service.record_broken_attempt(id, content, server);
+        let Some(content) = self.fingerprint() else {
+            return;
+        };
+        let id = self.request_id.to_str().unwrap_or("");
+        self.service.record_broken_attempt(id, content, server);
+        // A server that leaves may exit while it still runs requests.
+        if let Some(incarnation) = server
+            && !self.service.group().is_incarnation_leaving(incarnation)
+        {
+            let server = BrokenServer {
+                service: Arc::clone(self.service),
+                incarnation: incarnation.clone(),
+                health_path: self.health_path.map(Into::into),
+            };
+            self.crashes.check_crash(content, server);
+        }
+    }
+
+    /// Refuses a request that is known to crash its servers.
+    fn check_quarantine(&self) -> Result<(), HostedRefusal> {
+        let content = self.suspected_fingerprint();
+        match content.and_then(|content| self.crashes.quarantine_left(content)) {
+            Some(left) => {
+                self.metrics.quarantine_refusals.inc();
+                Err(HostedRefusal::Quarantined(left))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Whether a server has crashed while it may have run this request or a repeat of it.
+    fn is_suspected(&self) -> bool {
+        self.suspected_fingerprint().is_some_and(|content| self.crashes.is_suspected(content))
+    }
+
+    /// Records that a server has responded to the request.
+    fn record_response(&self) {
+        if let Some(content) = self.suspected_fingerprint() {
+            self.crashes.record_response(content);
+        }
+    }
+
+    /// Returns the fingerprint of the request; `None` also if no request at all is suspected.
+    fn suspected_fingerprint(&self) -> Option<Fingerprint> {
+        match self.crashes.is_idle() {
+            true => None,
+            false => self.fingerprint(),
         }
     }
 
     /// Returns the fingerprint of the request; `None` unless its whole body is in memory.
     fn fingerprint(&self) -> Option<Fingerprint> {
+        *self.fingerprint.get_or_init(|| self.compute_fingerprint())
+    }
+
+    fn compute_fingerprint(&self) -> Option<Fingerprint> {
         let body = self.body.whole()?;
         let host = self.head.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
         let target = self.head.target.path_and_query().map_or("", |target| target.as_str());
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -1,8 +1,8 @@
 //! Handles callers' requests: finds the route, dispatches the request and returns the response.
 
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -14,6 +14,7 @@
 use board::HostedBoard;
 use model::ServerId;
 use observe::{HostedMetrics, Logger, RequestOutcome, info, o};
+use quarantine::CrashBoard;
 use routes::{CallerLimits, HostedRoute, RouteTable, WireInterface};
 
 use crate::body::{BodyError, CallerResponseBody};
@@ -21,6 +22,7 @@
 use crate::handler::check_forwardable;
 use crate::headers::{has_chunked_body, read_host, remove_hop_by_hop, set_connection_close};
 use crate::hosted::attempt::ServerResponse;
+use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::route_stats::RouteStatsTable;
@@ -44,6 +46,7 @@
 pub struct HostedHandler {
     board: Arc<HostedBoard>,
     services: Arc<HostedServices>,
+    crashes: Arc<CrashDetector>,
     wire: Arc<WireInterface>,
     route_stats: RouteStatsTable,
     metrics: HostedMetrics,
@@ -65,15 +68,25 @@
     pub fn new(
         board: Arc<HostedBoard>,
         services: Arc<HostedServices>,
+        crashes: Arc<CrashBoard>,
         wire: WireInterface,
         metrics: HostedMetrics,
         options: HostedOptions,
         log: Logger,
     ) -> Self {
+        let wire = Arc::new(wire);
+        let crashes = Arc::new(CrashDetector::new(
+            crashes,
+            Arc::clone(&services),
+            Arc::clone(&wire),
+            metrics.clone(),
+            log.clone(),
+        ));
         Self {
             board,
             services,
-            wire: Arc::new(wire),
+            crashes,
+            wire,
             route_stats: RouteStatsTable::default(),
             metrics,
             options,
@@ -169,10 +182,12 @@
             metrics: &self.metrics,
             route,
             service: &service,
+            crashes: &self.crashes,
             health_path,
             request_id,
             head: forwarded_head(request)?,
             body,
+            fingerprint: OnceLock::new(),
             shape,
             deadline,
             target_at: now + route.target_latency.saturating_sub(time_before_attempt),
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -7,6 +7,8 @@
 //! `route_stats` that of each route.
 
 mod attempt;
+mod contacts;
+mod crash_detector;
 mod dispatch;
 mod handler;
 mod listener;
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -36,6 +36,9 @@
     /// delay.
     #[display("backend servers refused the request")]
     Shed(Duration),
+    /// The request crashed the servers that ran it. Contains the rest of its quarantine.
+    #[display("request crashed the backend servers that ran it")]
+    Quarantined(Duration),
     /// The deadline passed before the request was sent.
     #[display("time passed before the request was sent")]
     DeadlineBeforeSend,
@@ -66,6 +69,7 @@
             | Self::NoServer
             | Self::Saturated(_)
             | Self::Shed(_)
+            | Self::Quarantined(_)
             | Self::DeadlineBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineAfterSend => StatusCode::GATEWAY_TIMEOUT,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
@@ -74,7 +78,7 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Saturated(delay) | Self::Shed(delay) => Some(delay),
+            Self::Saturated(delay) | Self::Shed(delay) | Self::Quarantined(delay) => Some(delay),
             Self::NoConfig | Self::NoServer | Self::DeadlineBeforeSend => Some(DEFAULT_RETRY_DELAY),
             _ => None,
         }
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -179,6 +179,7 @@
     let sent_at = Instant::now();
     let response = connection.sender.send_request(probe_request(address, path)?).await.ok()?;
     service.group().record_probe_time(ticket, sent_at.elapsed());
+    service.contacts.record(address, Instant::now());
     let headers = response.headers();
     if headers.contains_key(&wire.headers.request_id) {
         // A late copy of the response to a request. The probe's own follows, so the connection is
@@ -234,7 +235,10 @@
     seconds.parse().ok().map(Duration::from_secs)
 }
 
-fn probe_request(address: std::net::SocketAddr, path: &str) -> Option<Request<BackendRequestBody>> {
+pub(crate) fn probe_request(
+    address: std::net::SocketAddr,
+    path: &str,
+) -> Option<Request<BackendRequestBody>> {
     let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
     let mut request = Request::new(body);
     *request.uri_mut() = path.parse().ok()?;
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -1,10 +1,12 @@
 //! Servers, connections, queue and budget of each service.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use balance::{
@@ -17,6 +19,7 @@
 use quarantine::Fingerprint;
 use routes::{ServerRecord, ServiceName};
 
+use crate::hosted::contacts::ServerContacts;
 use crate::pool::ConnectionPool;
 
 /// Idle connections kept per server: one for probes and one for a concurrent request.
@@ -35,6 +38,8 @@
     /// Number of entry VMs that share them.
     fleet_size: AtomicU32,
     pub(crate) pool: ConnectionPool,
+    /// Last responses from servers of any service.
+    pub(crate) contacts: Arc<ServerContacts>,
     metrics: HostedMetrics,
     log: Logger,
 }
@@ -150,6 +155,7 @@
     /// This entry VM's turns at backend servers that name a limit.
     turns: Mutex<SendTurns>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
+    contacts: Arc<ServerContacts>,
     /// Held while services are added, or the slack or the turns of all are changed.
     update_lock: Mutex<()>,
     metrics: HostedMetrics,
@@ -172,6 +178,7 @@
             slack: Mutex::new((limits.slack, Instant::now())),
             turns: Mutex::new(turns),
             services: ArcSwap::default(),
+            contacts: Arc::default(),
             update_lock: Mutex::new(()),
             metrics,
             log,
@@ -247,6 +254,28 @@
         }
     }
 
+    /// Returns the last responses from servers.
+    pub(crate) fn contacts(&self) -> &ServerContacts {
+        &self.contacts
+    }
+
+    /// Returns up to `count` random servers of all services at other addresses than `address`.
+    pub(crate) fn other_servers(
+        &self,
+        address: SocketAddr,
+        count: usize,
+    ) -> Vec<(Arc<HostedService>, SocketAddr)> {
+        let mut others = Vec::new();
+        for service in self.services.load().values() {
+            let mut addresses = service.group().addresses();
+            addresses.retain(|other| *other != address);
+            others.extend(addresses.into_iter().map(|other| (Arc::clone(service), other)));
+        }
+        others.shuffle(&mut rand::rng());
+        others.truncate(count);
+        others
+    }
+
     fn slack(&self) -> MutexGuard<'_, (f64, Instant)> {
         self.slack.lock().expect("slack lock is never poisoned")
     }
@@ -274,6 +303,7 @@
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
+            contacts: Arc::clone(&self.contacts),
             metrics: self.metrics.clone(),
             log: self.log.clone(),
         })
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -201,6 +201,11 @@
         CloseGuard { timer: timer.abort_handle() }
     }
 
+    /// Returns the server's address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Whether a response was received on it before.
     pub(crate) fn has_responded(&self) -> bool {
         self.has_responded
--- /dev/null
+++ b/components/quarantine/src/board.rs
@@ -0,0 +1,144 @@
+//! Crash reports that the tasks of an entry VM share.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::broadcast;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::time::Instant;
+
+use crate::fingerprint::Fingerprint;
+use crate::ledger::{CrashLedger, CrashLimits, Decision};
+use crate::report::{CrashReport, IncarnationKey};
+
+/// Capacity of the queue of new reports to one receiver. A receiver that falls further behind takes
+/// a snapshot.
+const UPDATE_QUEUE_CAPACITY: usize = 64;
+
+/// Crash reports that the tasks of an entry VM share: the request path, and the exchange with other
+/// VMs.
+#[derive(Debug)]
+pub struct CrashBoard {
+    ledger: Mutex<CrashLedger>,
+    updates: broadcast::Sender<Vec<CrashReport>>,
+}
+
+impl Default for CrashBoard {
+    fn default() -> Self {
+        Self::new(CrashLimits::default())
+    }
+}
+
+impl CrashBoard {
+    /// Creates a board without reports.
+    pub fn new(limits: CrashLimits) -> Self {
+        let updates = broadcast::Sender::new(UPDATE_QUEUE_CAPACITY);
+        Self { ledger: Mutex::new(CrashLedger::new(limits)), updates }
+    }
+
+    /// Adds reports, and passes on those that are new.
+    pub fn merge(&self, reports: &[CrashReport], now: Instant) {
+        let mut ledger = self.ledger();
+        let new = reports.iter().copied().filter(|report| ledger.merge(report, now)).collect();
+        self.pass_on(new);
+    }
+
+    /// Records that a server crashed while it may have run these requests of this VM, and passes that
+    /// on.
+    pub fn record_crash(&self, contents: &[Fingerprint], server: IncarnationKey, now: Instant) {
+        let mut ledger = self.ledger();
+        let reports = contents
+            .iter()
+            .flat_map(|content| ledger.record_crash(*content, server, now))
+            .collect();
+        self.pass_on(reports);
+    }
+
+    /// Records that a server has responded to a request of this VM, and passes on what that clears.
+    pub fn record_response(&self, content: Fingerprint, now: Instant) {
+        let mut ledger = self.ledger();
+        let cleared = ledger.record_response(content, now);
+        self.pass_on(cleared);
+    }
+
+    /// Returns the decisions that have become due since the last call.
+    pub fn decide(&self, now: Instant) -> Vec<Decision> {
+        let mut ledger = self.ledger();
+        match ledger.next_decision_at() {
+            Some(at) if at <= now => ledger.decide(now),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Whether no report is held, so that no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.ledger().is_empty()
+    }
+
+    /// Returns the end of a request's quarantine; `None` if it isn't quarantined.
+    pub fn quarantined_until(&self, content: Fingerprint, now: Instant) -> Option<Instant> {
+        self.ledger().quarantined_until(content, now)
+    }
+
+    /// Number of crashes of which a request is suspected.
+    pub fn crash_count(&self, content: Fingerprint) -> usize {
+        self.ledger().crash_count(content)
+    }
+
+    /// Number of requests that are quarantined.
+    pub fn quarantined_count(&self, now: Instant) -> usize {
+        self.ledger().quarantined_count(now)
+    }
+
+    /// Returns the reports about a request.
+    pub fn reports_of(&self, content: Fingerprint, now: Instant) -> Vec<CrashReport> {
+        self.ledger().reports_of(content, now)
+    }
+
+    /// Returns all reports.
+    pub fn snapshot(&self, now: Instant) -> Vec<CrashReport> {
+        self.ledger().snapshot(now)
+    }
+
+    /// Returns a feed of all reports, those held first.
+    pub fn feed(self: &Arc<Self>) -> CrashFeed {
+        CrashFeed { board: Arc::clone(self), updates: self.updates.subscribe(), is_behind: true }
+    }
+
+    fn pass_on(&self, reports: Vec<CrashReport>) {
+        if !reports.is_empty() {
+            // The send fails only if there is no receiver.
+            let _ = self.updates.send(reports);
+        }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, CrashLedger> {
+        self.ledger.lock().expect("ledger lock is never poisoned")
+    }
+}
+
+/// Feed of the reports on a board.
+pub struct CrashFeed {
+    board: Arc<CrashBoard>,
+    updates: broadcast::Receiver<Vec<CrashReport>>,
+    /// Whether the next reports are all that the board holds.
+    is_behind: bool,
+}
+
+impl CrashFeed {
+    /// Waits for the next reports. The first ones are those that the board holds, possibly none.
+    /// Cancel-safe: no report is lost.
+    pub async fn next(&mut self) -> Vec<CrashReport> {
+        loop {
+            if self.is_behind {
+                self.is_behind = false;
+                return self.board.snapshot(Instant::now());
+            }
+            match self.updates.recv().await {
+                Ok(reports) => return reports,
+                Err(RecvError::Lagged(_)) => self.is_behind = true,
+                // The board, which this feed holds, has the sender.
+                Err(RecvError::Closed) => std::future::pending().await,
+            }
+        }
+    }
+}
--- a/components/settings/src/timing.rs
+++ b/components/settings/src/timing.rs
@@ -109,6 +109,11 @@
 /// Longest such time.
 const MAX_EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time after the first report of a crash until it counts, as a fraction of the contact time: within
+/// that time the whole fleet must know a request that crashes its servers, and the reports of other
+/// VMs arrive within a fraction of a second.
+const CRASH_SETTLE_CONTACT_RATIO: f64 = 0.1;
+
 /// Longest long-poll wait that the store accepts.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(30);
 
@@ -162,6 +167,9 @@
     pub drain_notice: Duration,
     /// Time before the end of the grace time at which the process exits.
     pub exit_margin: Duration,
+    /// Time after the first report of a crash until it counts. Invariant: shorter than the contact
+    /// time.
+    pub crash_settle_time: Duration,
 }
 
 /// Error for two settings that can't be met together.
@@ -217,6 +225,7 @@
                 .min(contact.mul_f64(RETENTION_CONTACT_RATIO)),
             drain_notice: bounds.grace.mul_f64(DRAIN_NOTICE_GRACE_RATIO).min(MAX_DRAIN_NOTICE),
             exit_margin: bounds.grace.mul_f64(EXIT_MARGIN_GRACE_RATIO).min(MAX_EXIT_MARGIN),
+            crash_settle_time: contact.mul_f64(CRASH_SETTLE_CONTACT_RATIO),
         })
     }
 }
--- a/tests/hosted_crashing_requests.rs
+++ b/tests/hosted_crashing_requests.rs
@@ -1,14 +1,17 @@
 //! On a hosting platform: requests that crash the servers which run them, and requests that only
 //! share a server with them.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Method;
+use routes::ServerRecord;
 use testkit::{
-    CallRequest, FakePlatform, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedServer, call,
-    free_address, hosted_config, standard_routes,
+    CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
+    HostedServer, call, free_address, hosted_config, standard_routes,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -38,6 +41,7 @@
     platform: FakePlatform,
     servers: Vec<Arc<HostedServer>>,
     daemons: Vec<HostedDaemon>,
+    relays: [SocketAddr; 2],
     next_id: usize,
     _restarts: JoinSet<()>,
 }
@@ -66,7 +70,21 @@
         for daemon in &mut daemons {
             daemon.wait_ready().await;
         }
-        Self { platform, servers, daemons, next_id: 0, _restarts: restarts }
+        Self { platform, servers, daemons, relays, next_id: 0, _restarts: restarts }
+    }
+
+    /// Starts a further VM.
+    fn start_daemon(&self, relay: SocketAddr) -> HostedDaemon {
+        let (program, store) = (Path::new(DAEMON_PATH), self.platform.address());
+        HostedDaemon::start_with_relays(program, store, relay, &self.relays)
+    }
+
+    /// Contents that any VM has quarantined, by the logs.
+    fn quarantined_contents(&self) -> BTreeSet<String> {
+        let logs = self.daemons.iter();
+        let lines =
+            logs.flat_map(|daemon| daemon.log_lines_containing("quarantine: request crash"));
+        lines.map(|line| line["content"].as_str().unwrap_or_default().to_owned()).collect()
     }
 
     /// Returns a request to the VM `number`, modulo the number of VMs.
@@ -156,3 +174,84 @@
     let response = call(&harmless).await.expect("the daemon responds");
     assert_eq!(response.status, 200, "another body to the same path: {}", response.text());
 }
+
+/// A request that runs beside a harmful one loses its server with it, again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_servers_with_a_harmful_one_are_not_refused_for_it() {
+    let mut fleet = Fleet::start(3, 6).await;
+    let end = Instant::now() + Duration::from_secs(6);
+    let mut refused = Vec::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        let mut calls = JoinSet::new();
+        // The first one of each round is harmful; the paths of the others recur in each round.
+        for index in 0..8 {
+            number += 1;
+            let path = if index == 0 { "/read/poison".into() } else { format!("/read/{index}") };
+            let request = fleet.request(number, Method::GET, &path);
+            calls.spawn(async move { (index, call(&request).await) });
+        }
+        for (index, result) in calls.join_all().await {
+            let response = result.expect("the daemon responds");
+            if index > 0 && response.text().contains("crashed") {
+                refused.push(index);
+            }
+        }
+    }
+    assert!(refused.is_empty(), "refused: {refused:?}");
+    assert!(fleet.runs(CRASH_TEXT).len() >= CRASHES);
+    assert_eq!(fleet.quarantined_contents().len(), 1, "only the harmful request");
+}
+
+/// Crashes that no request causes, and connections that are reset while the servers run on.
+#[tokio::test(flavor = "multi_thread")]
+async fn ordinary_crashes_and_resets_quarantine_no_request() {
+    let mut fleet = Fleet::start(3, 6).await;
+    let mut proxies = Vec::new();
+    for server in &fleet.servers[..2] {
+        let proxy = FaultProxy::start(server.record.address).await;
+        let record = ServerRecord { address: proxy.address, sequence: 2, ..server.record.clone() };
+        fleet.platform.put_server(&record);
+        proxies.push(proxy);
+    }
+    let end = Instant::now() + Duration::from_secs(6);
+    let mut number = 0;
+    while Instant::now() < end {
+        let mut calls = JoinSet::new();
+        for path in 0..6 {
+            let request = fleet.request(number + path, Method::GET, &format!("/read/{path}"));
+            calls.spawn(async move { call(&request).await });
+        }
+        sleep(RUN_TIME / 2).await;
+        proxies[number % 2].reset_open_connections();
+        if number.is_multiple_of(4) {
+            fleet.servers[2 + number / 4 % 4].crash_and_restart();
+        }
+        for result in calls.join_all().await {
+            let response = result.expect("the daemon responds");
+            assert!(!response.text().contains("crashed"), "{}", response.text());
+        }
+        number += 1;
+    }
+    let crashes: usize = fleet.servers.iter().map(|server| server.crashed_at().len()).sum();
+    assert!(crashes >= 6, "{crashes} crashes");
+    assert!(fleet.quarantined_contents().is_empty());
+}
+
+/// The relay that a VM subscribes to can be lost, and VMs can start, after the third crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_relay_and_new_vm_do_not_send_a_quarantined_request_again() {
+    let mut fleet = Fleet::start(4, 8).await;
+    let harmful = |fleet: &mut Fleet, number| fleet.request(number, Method::GET, "/read/poison");
+    fleet.repeat(Duration::from_secs(4), harmful).await;
+    fleet.daemons[0].kill();
+    let mut added = fleet.start_daemon(free_address());
+    added.wait_ready().await;
+    fleet.daemons[0] = added;
+    // The subscribers of the lost relay subscribe to the other one.
+    sleep(Duration::from_secs(1)).await;
+    let before = fleet.runs(CRASH_TEXT).len();
+    let statuses = fleet.repeat(Duration::from_secs(2), harmful).await;
+    let after = fleet.runs(CRASH_TEXT).len();
+    assert_eq!(after, before, "runs of the quarantined request: {statuses:?}");
+}
