Keep crash reports in the store over a restart of all VMs

Callers saw nothing yet: found by own tests. After all VMs were killed at once, a harmful request ran 10 more times; without any relay 8 of 15 runs came too late (3 allowed). Cause: reports lived in the memory of VMs and were exchanged by relays only. Change: a VM writes its reports about a request to a table of the store once there are two, or at once while it has no relay. Relays read the table at their start, VMs without a relay as long as they have none. Expired rows are deleted by the next reader.

--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -5,6 +5,7 @@
 //! are made locally, from what this entry VM observes.
 
 mod crash_exchange;
+mod crash_store;
 mod platform_view;
 mod platform_watcher;
 mod readiness;
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -1,6 +1,7 @@
 //! The configuration and the backend servers as this entry VM last received them, from the store or
 //! from a relay.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -58,6 +59,8 @@
     pub(crate) crashes: Arc<CrashBoard>,
     pub(crate) metrics: HostedMetrics,
     pub(crate) log: Logger,
+    /// Whether this VM reads the store itself because no relay has a fresh state.
+    is_without_relay: AtomicBool,
     servers: Mutex<ServerListState>,
     /// Notified when the list of servers has changed.
     servers_changed: Notify,
@@ -81,11 +84,22 @@
             crashes,
             metrics,
             log,
+            is_without_relay: AtomicBool::new(false),
             servers: Mutex::new(ServerListState { registry, version: None }),
             servers_changed: Notify::new(),
         }
     }
 
+    /// Records whether this VM reads the store itself because no relay has a fresh state.
+    pub(crate) fn set_without_relay(&self, is_without_relay: bool) {
+        self.is_without_relay.store(is_without_relay, Ordering::Relaxed);
+    }
+
+    /// Whether this VM has a relay or is one.
+    pub(crate) fn has_relay(&self) -> bool {
+        !self.is_without_relay.load(Ordering::Relaxed)
+    }
+
     /// Versions held, which a relay need not send again.
     pub(crate) fn held_versions(&self) -> HeldVersions {
         let config = self.board.version().map(|version| version.0);
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -13,6 +13,7 @@
 use platform::{PlatformStore, TableName, TableRow, parse_config_row, parse_server_row};
 use routes::ServerChange;
 
+use crate::hosted::crash_store::CrashStore;
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
 use crate::hosted::relay_subscriber::RelaySubscriber;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
@@ -65,6 +66,11 @@
 
     /// Updates the view until the future is dropped.
     pub(crate) async fn run(self) {
+        let crash_store = CrashStore::new(Arc::clone(&self.view), self.call_config.clone());
+        tokio::join!(crash_store.run_writer(), self.run_watch());
+    }
+
+    async fn run_watch(&self) {
         match &self.subscriber {
             None => self.watch_store().await,
             Some(subscriber) => {
@@ -93,16 +99,26 @@
             let is_fresh = |confirmed_at: &Option<Instant>| {
                 confirmed_at.is_some_and(|at| Instant::now() < at + self.ages.direct_read_age)
             };
+            self.view.set_without_relay(true);
             tokio::select! {
                 _ = confirmation_receiver.wait_for(is_fresh) => {}
                 () = self.watch_store() => {}
             }
+            self.view.set_without_relay(false);
         }
     }
 
     /// Watches both tables of the store until the future is dropped.
     async fn watch_store(&self) {
-        tokio::join!(self.watch_config(), self.watch_servers());
+        tokio::join!(self.watch_config(), self.watch_servers(), self.read_crashes());
+    }
+
+    async fn read_crashes(&self) {
+        let crash_store = CrashStore::new(Arc::clone(&self.view), self.call_config.clone());
+        match &self.subscriber {
+            None => crash_store.load().await,
+            Some(_) => crash_store.exchange().await,
+        }
     }
 
     async fn watch_config(&self) {
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -9,6 +9,7 @@
     HeldVersions, RelayHub, RelayMessage, RelaySubscription, RelayTiming, SubscriberTurns,
     serve_relay,
 };
+use quarantine::{CrashReport, Fingerprint, IncarnationKey};
 use routes::{CallerLimits, RouteTable, ServerChange, ServerRecord, ServiceName};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
@@ -324,3 +325,74 @@
     let second = subscription.next(MESSAGE_TIMEOUT).await.expect("the relay sends messages");
     assert!(matches!(second, RelayMessage::Config(_)), "{second:?}");
 }
+
+fn crash_report(server: u64) -> CrashReport {
+    CrashReport {
+        content: Fingerprint::new("GET", b"shop.test", "/read/1", b""),
+        server: IncarnationKey(server),
+        is_cleared: false,
+        age_ms: 0,
+    }
+}
+
+/// Waits for crash reports about a server.
+async fn receive_crash_report(subscription: &mut RelaySubscription, server: u64) {
+    loop {
+        let message = subscription.next(MESSAGE_TIMEOUT).await.expect("the relay sends messages");
+        if let RelayMessage::CrashReports(reports) = message
+            && reports.iter().any(|report| report.server == IncarnationKey(server))
+        {
+            return;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_report_of_a_subscriber_reaches_other_subscribers_and_relays() {
+    let relay = TestRelay::start().await;
+    let subscriber = HeldVersions { exchanges_crash_reports: true, ..HeldVersions::default() };
+    let other_relay = HeldVersions { is_relay: true, ..subscriber.clone() };
+    let mut connections = Vec::new();
+    for held in [&subscriber, &subscriber, &other_relay] {
+        let opened = RelaySubscription::open(relay.address, held, TIMING.handshake_timeout).await;
+        connections.push(opened.expect("the relay accepts the subscription"));
+    }
+    for (server, sender) in [(1, 0), (2, 2)] {
+        let sent = connections[sender].send_crash_reports(vec![crash_report(server)]).await;
+        sent.expect("the relay accepts the report");
+        for connection in &mut connections {
+            receive_crash_report(connection, server).await;
+        }
+    }
+    // A later subscriber gets all of them at first.
+    let held = &subscriber;
+    let opened = RelaySubscription::open(relay.address, held, TIMING.handshake_timeout).await;
+    let mut late = opened.expect("the relay accepts the subscription");
+    receive_crash_report(&mut late, 1).await;
+}
+
+/// An older version of the daemon doesn't know the message, and another relay is no member.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_subscriber_gets_no_crash_reports_and_a_relay_gets_nothing_else() {
+    let relay = TestRelay::start().await;
+    relay.hub.confirm_config(Instant::now());
+    relay.hub.confirm_servers(Instant::now());
+    let other_relay =
+        HeldVersions { exchanges_crash_reports: true, is_relay: true, ..HeldVersions::default() };
+    let mut connections = Vec::new();
+    for held in [&HeldVersions::default(), &other_relay] {
+        let opened = RelaySubscription::open(relay.address, held, TIMING.handshake_timeout).await;
+        connections.push(opened.expect("the relay accepts the subscription"));
+    }
+    let sent = connections[1].send_crash_reports(vec![crash_report(1)]).await;
+    sent.expect("the relay accepts the report");
+    for _ in 0..8 {
+        let message = connections[0].next(MESSAGE_TIMEOUT).await.expect("a message arrives");
+        assert!(!matches!(message, RelayMessage::CrashReports(_)), "{message:?}");
+        if let RelayMessage::KeepAlive { members, .. } = message {
+            assert_eq!(members, 2, "the relay itself and one subscriber");
+        }
+        let message = connections[1].next(MESSAGE_TIMEOUT).await.expect("a message arrives");
+        assert!(matches!(message, RelayMessage::CrashReports(_)), "{message:?}");
+    }
+}
--- a/components/quarantine/src/board.rs
+++ b/components/quarantine/src/board.rs
@@ -6,6 +6,8 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::Instant;
 
+use model::FastSet;
+
 use crate::fingerprint::Fingerprint;
 use crate::ledger::{CrashLedger, CrashLimits, Decision};
 use crate::report::{CrashReport, IncarnationKey};
@@ -20,6 +22,8 @@
 pub struct CrashBoard {
     ledger: Mutex<CrashLedger>,
     updates: broadcast::Sender<Vec<CrashReport>>,
+    /// Requests about which this VM itself made a report.
+    own_reports: broadcast::Sender<Fingerprint>,
 }
 
 impl Default for CrashBoard {
@@ -32,7 +36,8 @@
     /// Creates a board without reports.
     pub fn new(limits: CrashLimits) -> Self {
         let updates = broadcast::Sender::new(UPDATE_QUEUE_CAPACITY);
-        Self { ledger: Mutex::new(CrashLedger::new(limits)), updates }
+        let own_reports = broadcast::Sender::new(UPDATE_QUEUE_CAPACITY);
+        Self { ledger: Mutex::new(CrashLedger::new(limits)), updates, own_reports }
     }
 
     /// Adds reports, and passes on those that are new.
@@ -50,14 +55,14 @@
             .iter()
             .flat_map(|content| ledger.record_crash(*content, server, now))
             .collect();
-        self.pass_on(reports);
+        self.pass_on_own(reports);
     }
 
     /// Records that a server has responded to a request of this VM, and passes on what that clears.
     pub fn record_response(&self, content: Fingerprint, now: Instant) {
         let mut ledger = self.ledger();
         let cleared = ledger.record_response(content, now);
-        self.pass_on(cleared);
+        self.pass_on_own(cleared);
     }
 
     /// Returns the decisions that have become due since the last call.
@@ -84,6 +89,11 @@
         self.ledger().crash_count(content)
     }
 
+    /// Whether a report is so old that it no longer counts.
+    pub fn is_expired(&self, report: &CrashReport) -> bool {
+        self.ledger().is_expired(report)
+    }
+
     /// Number of requests that are quarantined.
     pub fn quarantined_count(&self, now: Instant) -> usize {
         self.ledger().quarantined_count(now)
@@ -104,6 +114,20 @@
         CrashFeed { board: Arc::clone(self), updates: self.updates.subscribe(), is_behind: true }
     }
 
+    /// Returns a receiver of the requests about which this VM itself makes reports.
+    pub fn own_reports(&self) -> broadcast::Receiver<Fingerprint> {
+        self.own_reports.subscribe()
+    }
+
+    fn pass_on_own(&self, reports: Vec<CrashReport>) {
+        let contents: FastSet<Fingerprint> = reports.iter().map(|report| report.content).collect();
+        self.pass_on(reports);
+        for content in contents {
+            // The send fails only if there is no receiver.
+            let _ = self.own_reports.send(content);
+        }
+    }
+
     fn pass_on(&self, reports: Vec<CrashReport>) {
         if !reports.is_empty() {
             // The send fails only if there is no receiver.
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -137,12 +137,17 @@
         self.reports.is_empty()
     }
 
+    /// Whether a report is so old that it no longer counts.
+    pub fn is_expired(&self, report: &CrashReport) -> bool {
+        Duration::from_millis(report.age_ms) >= self.limits.quarantine_time
+    }
+
     /// Adds a report. Returns whether it says anything new.
     pub fn merge(&mut self, report: &CrashReport, now: Instant) -> bool {
-        let age = Duration::from_millis(report.age_ms);
-        if age >= self.limits.quarantine_time {
+        if self.is_expired(report) {
             return false;
         }
+        let age = Duration::from_millis(report.age_ms);
         let crashed_at = now.checked_sub(age).unwrap_or(now);
         let held_reports = self.reports.get_mut(&report.content);
         match held_reports.and_then(|held_reports| held_reports.get_mut(&report.server)) {
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -341,6 +341,12 @@
                 self.wait_for_changes(table, after, wait).await
             }
             StoreRequest::Commit(request) => self.commit(&request),
+            StoreRequest::WriteRows(table, rows) => {
+                for row in rows {
+                    self.put_row(table, row);
+                }
+                Some(ok_response(encode_rows(&VersionedRows::default(), false)))
+            }
             StoreRequest::PutObject(name, content) => {
                 self.objects().insert(name, content);
                 Some(ok_response(Bytes::new()))
--- a/tests/hosted_crashing_requests.rs
+++ b/tests/hosted_crashing_requests.rs
@@ -36,6 +36,9 @@
 /// Times that a known request may still be sent to a server.
 const MAX_LATER_SENDS: usize = 3;
 
+/// Pause between two repeats of a request, unless a test sets another one.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Several entry VMs, of which the first two are relays, and servers that restart after crashes.
 struct Fleet {
     platform: FakePlatform,
@@ -43,6 +46,8 @@
     daemons: Vec<HostedDaemon>,
     relays: [SocketAddr; 2],
     next_id: usize,
+    /// Pause between two repeats of a request.
+    repeat_pause: Duration,
     _restarts: JoinSet<()>,
 }
 
@@ -70,7 +75,15 @@
         for daemon in &mut daemons {
             daemon.wait_ready().await;
         }
-        Self { platform, servers, daemons, relays, next_id: 0, _restarts: restarts }
+        Self {
+            platform,
+            servers,
+            daemons,
+            relays,
+            next_id: 0,
+            repeat_pause: REPEAT_PAUSE,
+            _restarts: restarts,
+        }
     }
 
     /// Starts a further VM.
@@ -79,6 +92,19 @@
         HostedDaemon::start_with_relays(program, store, relay, &self.relays)
     }
 
+    /// Kills all VMs at the same moment and starts others in their place, at the same relay addresses.
+    async fn restart_all_daemons(&mut self) {
+        let count = self.daemons.len();
+        self.daemons.drain(..).for_each(|mut daemon| daemon.kill());
+        for number in 0..count {
+            let relay = self.relays.get(number).copied().unwrap_or_else(free_address);
+            self.daemons.push(self.start_daemon(relay));
+        }
+        for daemon in &mut self.daemons {
+            daemon.wait_ready().await;
+        }
+    }
+
     /// Contents that any VM has quarantined, by the logs.
     fn quarantined_contents(&self) -> BTreeSet<String> {
         let logs = self.daemons.iter();
@@ -134,7 +160,7 @@
         while Instant::now() < end {
             let request = build(self, statuses.len());
             statuses.push(call(&request).await.ok().map(|response| response.status));
-            sleep(Duration::from_millis(100)).await;
+            sleep(self.repeat_pause).await;
         }
         statuses
     }
@@ -255,3 +281,35 @@
     let after = fleet.runs(CRASH_TEXT).len();
     assert_eq!(after, before, "runs of the quarantined request: {statuses:?}");
 }
+
+/// All VMs, the relays too, end at the same moment and start again.
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantine_outlives_a_restart_of_all_vms() {
+    let mut fleet = Fleet::start(3, 8).await;
+    let harmful = |fleet: &mut Fleet, number| fleet.request(number, Method::GET, "/read/poison");
+    fleet.repeat(Duration::from_secs(4), harmful).await;
+    fleet.restart_all_daemons().await;
+    let before = fleet.runs(CRASH_TEXT).len();
+    fleet.repeat(Duration::from_secs(4), harmful).await;
+    let after = fleet.runs(CRASH_TEXT).len();
+    assert!(after - before <= MAX_LATER_SENDS, "{} runs after the restart", after - before);
+}
+
+/// Without a relay, VMs exchange their reports through the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn vms_without_a_relay_know_the_crashes_of_each_other() {
+    let mut fleet = Fleet::start(7, 8).await;
+    // Slow enough that no VM finds out alone in time.
+    fleet.repeat_pause = Duration::from_millis(600);
+    // The relays are lost for good.
+    fleet.daemons.drain(..2).for_each(|mut relay| relay.kill());
+    sleep(CONTACT_TIME).await;
+    let statuses = fleet
+        .repeat(Duration::from_secs(14), |fleet, number| {
+            fleet.request(number, Method::GET, "/read/poison")
+        })
+        .await;
+    let (runs, later) = (fleet.runs(CRASH_TEXT).len(), fleet.later_runs(CRASH_TEXT));
+    assert!(runs >= CRASHES, "{runs} runs, {statuses:?}");
+    assert!(later <= MAX_LATER_SENDS, "{later} of {runs} runs are too late");
+}
