Count a server as crashed if it ends new connections without a response

Cause: only a refused connection counted, and the list was looked at once. Change: connections that are reset or closed without a response count like refused ones if another server is reachable; the list is looked at for 5 s. The soak has harmful calls, checked in each run.

--- a/components/proxy/src/hosted/crash_detector.rs
+++ b/components/proxy/src/hosted/crash_detector.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection that breaks while a request may be running says little: it can be reset on the way,
 //! and a VM that is partitioned from the servers loses all of them at once. So the server counts as
-//! crashed only if it refuses new connections while another server is reachable, or if another
-//! incarnation has taken its place in the list.
+//! crashed only if it refuses or ends new connections while another server is reachable, or if
+//! another incarnation has taken its place in the list.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -31,7 +31,10 @@
 
 /// Time after the checks until the list must show another incarnation, for a server whose checks
 /// had no result or that is back already.
-const REPLACEMENT_WAIT: Duration = Duration::from_secs(1);
+const REPLACEMENT_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between two looks at the list.
+const REPLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Other servers that are tried to find out whether this VM reaches any.
 const MAX_REACHABILITY_CHECKS: usize = 4;
@@ -65,7 +68,7 @@
     Alive,
     /// Another server has its address.
     Replaced,
-    /// It refuses connections.
+    /// It refuses connections, or ends them without a response.
     Refused,
     Unknown,
 }
@@ -158,8 +161,12 @@
             }
             CheckResult::Alive | CheckResult::Unknown => {}
         }
-        sleep(REPLACEMENT_WAIT).await;
-        server.service.group().is_replaced(&server.incarnation)
+        let is_replaced = || server.service.group().is_replaced(&server.incarnation);
+        let wait_until = Instant::now() + REPLACEMENT_WAIT;
+        while !is_replaced() && Instant::now() < wait_until {
+            sleep(REPLACEMENT_CHECK_INTERVAL).await;
+        }
+        is_replaced()
     }
 
     async fn check_server(&self, server: &BrokenServer) -> CheckResult {
@@ -167,7 +174,10 @@
         let opening = service.pool.open(address, service.connection_limit());
         let mut connection = match timeout(CHECK_TIMEOUT, opening).await {
             Ok(Ok(connection)) => connection,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            // The error is `ResourceBusy` if requests of this VM use all of its connections.
+            Ok(Err(error))
+                if !matches!(error.kind(), ErrorKind::ResourceBusy | ErrorKind::TimedOut) =>
+            {
                 return CheckResult::Refused;
             }
             _ => return CheckResult::Unknown,
@@ -177,8 +187,10 @@
             return CheckResult::Unknown;
         };
         let response = timeout(CHECK_TIMEOUT, connection.sender.send_request(request)).await;
-        let Ok(Ok(response)) = response else {
-            return CheckResult::Unknown;
+        let response = match response {
+            Ok(Ok(response)) => response,
+            Ok(Err(_)) => return CheckResult::Refused,
+            Err(_) => return CheckResult::Unknown,
         };
         let responding_server = response.headers().get(&self.wire.headers.responding_server);
         match responding_server {
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -61,9 +61,6 @@
     /// Runs one request and closes the connection without a response, then behaves as
     /// `AddressReused`.
     RunThenAddressReused,
-    /// Runs each request for this time. At the end of a request whose target or body contains the
-    /// text, the server crashes.
-    CrashOn(&'static str, Duration),
 }
 
 /// A request that a fake server started to run.
@@ -113,6 +110,9 @@
     /// When the server crashed.
     crashed_at: Mutex<Vec<Instant>>,
     crash_notify: Notify,
+    /// Text in the target or body of a request that crashes the server when it has run.
+    crash_text: Mutex<Option<&'static str>>,
+    restart_count: AtomicU64,
 }
 
 impl HostedServer {
@@ -132,6 +132,8 @@
             request_count: AtomicU64::new(0),
             crashed_at: Mutex::default(),
             crash_notify: Notify::new(),
+            crash_text: Mutex::default(),
+            restart_count: AtomicU64::new(0),
         });
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = serve(&state, any_port).await.expect("a loopback port is free");
@@ -150,17 +152,23 @@
     }
 
     /// Stops the server whenever it crashes, and starts it `downtime` later at the same address and
-    /// with the same ID as a new incarnation, until the future is dropped.
-    pub async fn restart_after_crashes(&self, list: ServerList, downtime: Duration) {
-        let mut record = self.record.clone();
+    /// with the same ID as a new incarnation, until the future is dropped. `record` is its entry in
+    /// the list.
+    pub async fn restart_after_crashes(
+        &self,
+        mut record: ServerRecord,
+        list: ServerList,
+        downtime: Duration,
+    ) {
         loop {
             self.state.crash_notify.notified().await;
             self.crash();
             sleep(downtime).await;
-            let server = serve(&self.state, record.address).await;
+            let server = serve(&self.state, self.record.address).await;
             *self.web_server() = Some(server.expect("the address of a crashed server is free"));
             record.started_at_ms += 1;
             record.sequence = 1;
+            self.state.restart_count.fetch_add(1, Ordering::SeqCst);
             list.put_server(&record);
         }
     }
@@ -176,6 +184,11 @@
         self.state.crash_notify.notify_one();
     }
 
+    /// Number of restarts after crashes, by which the start time in its entry is higher.
+    pub fn restart_count(&self) -> u64 {
+        self.state.restart_count.load(Ordering::SeqCst)
+    }
+
     /// When the server crashed.
     pub fn crashed_at(&self) -> Vec<Instant> {
         self.state.crashed_at.lock().expect("crash lock is never poisoned").clone()
@@ -190,6 +203,12 @@
         *self.state.behaviour.lock().expect("behaviour lock is never poisoned") = behaviour;
     }
 
+    /// Makes the server crash, whatever its behaviour, when it has run a request whose target or body
+    /// contains a text.
+    pub fn set_crash_text(&self, text: &'static str) {
+        *self.state.crash_text.lock().expect("crash lock is never poisoned") = Some(text);
+    }
+
     /// Names a limit in all responses, or none.
     pub fn set_limit(&self, limit: Option<RequestRate>) {
         *self.state.limit.lock().expect("limit lock is never poisoned") = limit;
@@ -322,12 +341,11 @@
             return Some(response);
         }
         let mut guard = self.record_run(request).await?;
-        if let HostedBehaviour::Run(run_time) | HostedBehaviour::CrashOn(_, run_time) = behaviour {
+        if let HostedBehaviour::Run(run_time) = behaviour {
             sleep(run_time).await;
         }
-        if let HostedBehaviour::CrashOn(text, _) = behaviour
-            && guard.contains(text)
-        {
+        let crash_text = *self.crash_text.lock().expect("crash lock is never poisoned");
+        if crash_text.is_some_and(|text| guard.contains(text)) {
             self.crash_notify.notify_one();
             // The crash ends this request.
             std::future::pending::<()>().await;
--- a/components/testkit/src/soak/checks.rs
+++ b/components/testkit/src/soak/checks.rs
@@ -9,13 +9,22 @@
 use crate::caller::{CallError, CallRequest, call};
 use crate::hosted::{HOSTED_HOST, HostedRun};
 use crate::soak::fleet::{SoakFleet, version_prefix};
-use crate::soak::load::{CallRecord, DEADLINE_MS};
+use crate::soak::load::{CallRecord, DEADLINE_MS, HARMFUL_CALLERS, harmful_text};
 
 /// Longest time after a server left the list in which it may still start requests: the contact time
 /// of the daemons (`contact_s`), plus the time that the platform allows daemons to stop sending to
 /// a leaving server.
 const MAX_LEAVE_TIME: Duration = Duration::from_secs(5);
 
+/// The daemons' `contact_s`.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Crashes after which a call is known to be harmful.
+const KNOWN_CRASHES: usize = 3;
+
+/// Times that a known harmful call may still reach a server.
+const MAX_LATER_SENDS: usize = 3;
+
 /// Attempts that the fleet may send to servers for each call.
 const MAX_ATTEMPTS_PER_CALL: f64 = 1.2;
 
@@ -56,6 +65,7 @@
     violations.safety.extend(check_interrupted_calls(fleet, calls, &runs));
     violations.safety.extend(check_attempts(fleet, calls));
     violations.timing.extend(check_left_servers(fleet));
+    violations.timing.extend(check_harmful_calls(fleet));
     violations.timing.extend(check_versions(fleet).await);
     violations
 }
@@ -78,6 +88,9 @@
             call.body
         ));
     }
+    if call.body.contains("crashed the backend servers") {
+        return Some(format!("call {} is harmless, but refused as harmful", description()));
+    }
     if call_runs.iter().any(|(_, run)| run.deadline_ms > DEADLINE_MS) {
         return Some(format!(
             "call {} reached a server with a longer deadline than its caller set",
@@ -135,6 +148,38 @@
     violations
 }
 
+/// Checks that a call which has crashed three servers is hardly sent again once all daemons have had
+/// the contact time without faults.
+fn check_harmful_calls(fleet: &SoakFleet) -> Vec<Box<str>> {
+    let mut violations = Vec::new();
+    let faults_ended_at = fleet.faults_ended_at.unwrap_or_else(Instant::now);
+    for number in 0..HARMFUL_CALLERS {
+        let text = harmful_text(number);
+        let mut started_at = Vec::new();
+        for server in &fleet.servers {
+            let runs = server.hosted_server.runs();
+            let matching = runs
+                .iter()
+                .filter(|run| run.target.ends_with(&text) || run.body.as_ref() == text.as_bytes());
+            started_at.extend(matching.map(|run| run.started_at));
+        }
+        started_at.sort();
+        let Some(third) = started_at.get(KNOWN_CRASHES - 1) else {
+            continue;
+        };
+        let bound = faults_ended_at.max(*third) + CONTACT_TIME;
+        let later = started_at.iter().filter(|at| **at > bound).count();
+        if later > MAX_LATER_SENDS {
+            let message = format!(
+                "call {text} ran {later} of {} times too long after it had crashed three servers",
+                started_at.len()
+            );
+            violations.push(message.into());
+        }
+    }
+    violations
+}
+
 /// Checks the number of requests that reached the servers against the retry budget.
 fn check_attempts(fleet: &SoakFleet, calls: &[CallRecord]) -> Option<Box<str>> {
     let request_count: u64 =
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -7,6 +7,7 @@
 
 use platform::TableName;
 use rustix::process::Signal;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use routes::{ExecutionSemantics, RouteTable, ServerRecord};
@@ -23,13 +24,24 @@
 /// How servers handle requests without a fault.
 const NORMAL_BEHAVIOUR: HostedBehaviour = HostedBehaviour::Run(Duration::from_millis(20));
 
+/// Text in the target or body of a request that crashes its server.
+pub(crate) const CRASH_TEXT: &str = "poison";
+
+/// Time from the crash of a server until it is back.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
+
+/// Largest number of crashes of one server; its next incarnation starts later than these.
+const MAX_CRASHES: u64 = 1_000;
+
 /// Number of servers that are never removed, so that requests can always be served.
 const PERMANENT_SERVERS: usize = 2;
 
 /// A fake server, the proxy in front of it, and its entry in the server list.
 pub(crate) struct SoakServer {
-    pub(crate) hosted_server: HostedServer,
+    pub(crate) hosted_server: Arc<HostedServer>,
     proxy: FaultProxy,
+    /// Restarts the server after crashes.
+    restarts: JoinHandle<()>,
     pub(crate) record: ServerRecord,
     /// When the server left the list; `None` while it is listed.
     pub(crate) left_at: Option<Instant>,
@@ -58,6 +70,8 @@
     pub(crate) killed_or_suspended: Vec<SocketAddr>,
     /// Caller addresses of the daemons that were killed or received SIGTERM.
     pub(crate) terminated: Vec<SocketAddr>,
+    /// When all faults ended.
+    pub(crate) faults_ended_at: Option<Instant>,
     /// When the last store fault started or ended.
     pub(crate) store_fault_at: Instant,
     started_servers: usize,
@@ -82,6 +96,7 @@
             version: 1,
             killed_or_suspended: Vec::new(),
             terminated: Vec::new(),
+            faults_ended_at: None,
             store_fault_at: Instant::now(),
             started_servers: 0,
         };
@@ -136,7 +151,14 @@
         let proxy = FaultProxy::start(hosted_server.record.address).await;
         let record = ServerRecord { address: proxy.address, ..record };
         self.platform.put_server(&record);
-        self.servers.push(SoakServer { hosted_server, proxy, record, left_at: None });
+        hosted_server.set_crash_text(CRASH_TEXT);
+        let hosted_server = Arc::new(hosted_server);
+        let (restarted, listed) = (Arc::clone(&hosted_server), record.clone());
+        let list = self.platform.server_list();
+        let restarts = tokio::spawn(async move {
+            restarted.restart_after_crashes(listed, list, CRASH_DOWNTIME).await;
+        });
+        self.servers.push(SoakServer { hosted_server, proxy, restarts, record, left_at: None });
     }
 
     /// Injects a fault.
@@ -209,6 +231,7 @@
 
     /// Ends all faults.
     pub(crate) async fn end_faults(&mut self) {
+        self.faults_ended_at = Some(Instant::now());
         self.store_fault_at = Instant::now();
         self.platform.set_behaviour(StoreBehaviour::Serve);
         self.platform.set_delay(Duration::ZERO);
@@ -243,8 +266,11 @@
         }
         let server = &mut self.servers[index];
         server.left_at = Some(Instant::now());
+        server.restarts.abort();
         let sequence = server.record.sequence + 1;
-        let leaving = ServerRecord { is_leaving: true, sequence, ..server.record.clone() };
+        let started_at_ms = server.record.started_at_ms + server.hosted_server.restart_count();
+        let record = server.record.clone();
+        let leaving = ServerRecord { is_leaving: true, sequence, started_at_ms, ..record };
         match is_announced {
             true => self.platform.put_server(&leaving),
             false => self.platform.remove_server(leaving.id.as_str()),
@@ -258,9 +284,11 @@
         if index < PERMANENT_SERVERS || self.servers[index].left_at.is_some() {
             return;
         }
+        self.servers[index].restarts.abort();
         let old = self.servers[index].record.clone();
         let server = HostedServer::start(old.id.as_str(), "orders", NORMAL_BEHAVIOUR).await;
-        let record = ServerRecord { started_at_ms: old.started_at_ms + 1, sequence: 1, ..old };
+        let record =
+            ServerRecord { started_at_ms: old.started_at_ms + MAX_CRASHES, sequence: 1, ..old };
         self.register_server(server, record).await;
         self.servers[index].left_at = Some(Instant::now());
     }
--- a/components/testkit/src/soak/load.rs
+++ b/components/testkit/src/soak/load.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use platform::wire_interface;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -12,6 +13,7 @@
 
 use crate::caller::{CallError, CallRequest, CallResponse, CallerConnection, call};
 use crate::hosted::HOSTED_HOST;
+use crate::soak::fleet::CRASH_TEXT;
 
 /// Mean pause between two calls.
 const MEAN_CALL_PAUSE: Duration = Duration::from_millis(8);
@@ -19,6 +21,12 @@
 /// Number of callers that reuse a connection until it fails or a response asks to close it.
 const PERSISTENT_CALLERS: u64 = 4;
 
+/// Number of callers that repeat a call which crashes the server that runs it.
+pub(crate) const HARMFUL_CALLERS: u64 = 2;
+
+/// Mean pause between two harmful calls.
+const MEAN_HARMFUL_CALL_PAUSE: Duration = Duration::from_millis(500);
+
 /// Mean pause between two calls on a reused connection.
 const MEAN_PERSISTENT_CALL_PAUSE: Duration = Duration::from_millis(40);
 
@@ -51,6 +59,9 @@
             tokio::spawn(send_on_connections(Arc::clone(&caller_addresses), seed, number, deadline))
         })
         .collect();
+    for number in 0..HARMFUL_CALLERS {
+        tokio::spawn(send_harmful_calls(Arc::clone(&caller_addresses), seed, number, deadline));
+    }
     tokio::spawn(async move {
         let mut random = StdRng::seed_from_u64(seed ^ 1);
         let mut calls = JoinSet::new();
@@ -99,6 +110,35 @@
     records
 }
 
+/// Repeats a call that crashes the server which runs it: a look-up by its path, an order by its body.
+async fn send_harmful_calls(
+    caller_addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    seed: u64,
+    number: u64,
+    deadline: Instant,
+) {
+    let mut random = StdRng::seed_from_u64(seed ^ (number + 100));
+    while Instant::now() < deadline {
+        sleep(MEAN_HARMFUL_CALL_PAUSE.mul_f64(random.random_range(0.0..2.0))).await;
+        let daemon = draw_daemon(&caller_addresses, &mut random);
+        let text = harmful_text(number);
+        let id = format!("{text}-{}", random.random_range(0..u64::MAX));
+        let mut planned = PlannedCall::new(id, daemon, &mut random);
+        let request = &mut planned.request;
+        (request.method, request.path, request.body) = match number.is_multiple_of(2) {
+            true => (hyper::Method::GET, format!("/read/{text}").into(), Bytes::new()),
+            false => (hyper::Method::POST, "/order/1".into(), text.into()),
+        };
+        // Its result is of no interest.
+        let _ = call(&planned.request).await;
+    }
+}
+
+/// Text in the target or body of a harmful call.
+pub(crate) fn harmful_text(number: u64) -> String {
+    format!("{CRASH_TEXT}-{number}")
+}
+
 fn draw_daemon(caller_addresses: &Mutex<Vec<SocketAddr>>, random: &mut StdRng) -> SocketAddr {
     let addresses = caller_addresses.lock().expect("caller lock is never poisoned");
     addresses[random.random_range(0..addresses.len())]
--- a/tests/hosted_crashing_requests.rs
+++ b/tests/hosted_crashing_requests.rs
@@ -57,12 +57,16 @@
         platform.put_config(&hosted_config(1, standard_routes()));
         let (mut servers, mut restarts) = (Vec::new(), JoinSet::new());
         for number in 0..server_count {
-            let behaviour = HostedBehaviour::CrashOn(CRASH_TEXT, RUN_TIME);
+            let behaviour = HostedBehaviour::Run(RUN_TIME);
             let id = format!("s-{number}");
             let server = Arc::new(HostedServer::start(&id, "orders", behaviour).await);
+            server.set_crash_text(CRASH_TEXT);
             platform.put_server(&server.record);
             let (restarted, list) = (Arc::clone(&server), platform.server_list());
-            restarts.spawn(async move { restarted.restart_after_crashes(list, DOWNTIME).await });
+            let record = server.record.clone();
+            restarts.spawn(async move {
+                restarted.restart_after_crashes(record, list, DOWNTIME).await;
+            });
             servers.push(server);
         }
         let relays = [free_address(), free_address()];
