Failing test: a VM that loses all servers serves none of its callers

Two VMs with links of their own to the same servers; the links of one hang, or are reset and refuse new connections.

--- a/components/testkit/src/fault_proxy.rs
+++ b/components/testkit/src/fault_proxy.rs
@@ -89,6 +89,11 @@
         self.bandwidth.store(bytes_per_second, Ordering::SeqCst);
     }
 
+    /// Refuses new connections from now on.
+    pub fn refuse(&self) {
+        self.task.abort();
+    }
+
     /// Drops all bytes on open and new connections.
     pub fn partition(&self) {
         self.is_partitioned.store(true, Ordering::SeqCst);
--- /dev/null
+++ b/tests/hosted_lost_servers.rs
@@ -0,0 +1,200 @@
+//! On a hosting platform: entry VMs that lose all servers while callers, the store and other VMs
+//! still reach them.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hyper::Method;
+use routes::ServerRecord;
+use testkit::{
+    CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
+    HostedServer, call, eventually, free_address, hosted_config, standard_routes,
+};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
+
+/// Time after the loss within which a VM must serve requests again (`contact_s`).
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Requests before and after the loss at each VM.
+const REQUESTS: usize = 30;
+
+/// Pause between two requests.
+const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// How the connections of a VM to the servers are lost.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// Open and new connections drop all bytes.
+    Hang,
+    /// Open connections are reset, and new ones refused.
+    Refuse,
+}
+
+/// Two entry VMs that reach the same servers over separate links. Each of them is a relay and has a
+/// store of its own, which lists the servers at the addresses of its links.
+struct Fleet {
+    servers: Vec<HostedServer>,
+    vms: Vec<LinkedVm>,
+    next_id: usize,
+}
+
+struct LinkedVm {
+    daemon: HostedDaemon,
+    links: Vec<FaultProxy>,
+    _platform: FakePlatform,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let mut servers = Vec::new();
+        for number in 0..4 {
+            let behaviour = HostedBehaviour::Run(Duration::from_millis(5));
+            servers.push(HostedServer::start(&format!("s-{number}"), "orders", behaviour).await);
+        }
+        let relays = [free_address(), free_address()];
+        let mut vms = Vec::new();
+        for relay in relays {
+            let platform = FakePlatform::start().await;
+            let mut routes = standard_routes();
+            for route in &mut routes {
+                route.timeout = Duration::from_secs(2);
+                route.target_latency = Duration::from_secs(1);
+            }
+            platform.put_config(&hosted_config(1, routes));
+            let mut links = Vec::new();
+            for server in &servers {
+                let link = FaultProxy::start(server.record.address).await;
+                let address = link.address;
+                platform.put_server(&ServerRecord { address, ..server.record.clone() });
+                links.push(link);
+            }
+            let (program, store) = (Path::new(DAEMON_PATH), platform.address());
+            let mut daemon = HostedDaemon::start_with_relays(program, store, relay, &relays);
+            daemon.wait_ready().await;
+            vms.push(LinkedVm { daemon, links, _platform: platform });
+        }
+        Self { servers, vms, next_id: 0 }
+    }
+
+    fn request(&mut self, vm: usize, method: Method, path: &str) -> CallRequest {
+        self.next_id += 1;
+        let names = platform::wire_interface().headers;
+        let callers = self.vms[vm].daemon.callers;
+        let mut request = CallRequest::get(callers, HOSTED_HOST, path)
+            .with_header(names.request_id.as_str(), &format!("request-{}", self.next_id))
+            .with_header(names.deadline_ms.as_str(), "2000");
+        request.method = method;
+        request
+    }
+
+    /// Sends look-ups to a VM and returns how many were served.
+    async fn served(&mut self, vm: usize) -> usize {
+        let mut calls = JoinSet::new();
+        for _ in 0..REQUESTS {
+            let request = self.request(vm, Method::GET, "/read/1");
+            calls.spawn(async move { call(&request).await.map(|response| response.status) });
+            sleep(REQUEST_PAUSE).await;
+        }
+        calls.join_all().await.into_iter().filter(|status| *status == Ok(200)).count()
+    }
+
+    fn cut(&self, vm: usize, loss: Loss) {
+        for link in &self.vms[vm].links {
+            match loss {
+                Loss::Hang => link.partition(),
+                Loss::Refuse => {
+                    link.reset_open_connections();
+                    link.refuse();
+                }
+            }
+        }
+    }
+
+    /// Keeps callers busy at a VM for the contact time.
+    async fn send_during_contact_time(&mut self, vm: usize) {
+        let mut calls = JoinSet::new();
+        for _ in 0..CONTACT_TIME.as_millis() / 100 {
+            let request = self.request(vm, Method::GET, "/read/1");
+            calls.spawn(async move { call(&request).await.is_ok() });
+            sleep(Duration::from_millis(100)).await;
+        }
+        calls.detach_all();
+    }
+
+    fn runs(&self, id: &str) -> usize {
+        let runs = self.servers.iter().flat_map(HostedServer::runs);
+        runs.filter(|run| *run.id == *id).count()
+    }
+}
+
+async fn check_vm_without_servers(loss: Loss) {
+    let mut fleet = Fleet::start().await;
+    assert_eq!(fleet.served(0).await, REQUESTS);
+    assert_eq!(fleet.served(1).await, REQUESTS);
+    fleet.cut(0, loss);
+    fleet.send_during_contact_time(0).await;
+    let (served, at_other) = (fleet.served(0).await, fleet.served(1).await);
+    assert!(
+        served * 3 >= at_other * 2,
+        "{loss:?}: {served} of {REQUESTS} requests are served at the VM without servers, {at_other} at the other"
+    );
+    // Orders too, and each at most once.
+    let mut calls = JoinSet::new();
+    for _ in 0..REQUESTS {
+        let mut order = fleet.request(0, Method::POST, "/order/1");
+        order.body = "one stone".into();
+        calls.spawn(async move { (call(&order).await, order) });
+        sleep(REQUEST_PAUSE).await;
+    }
+    for (result, order) in calls.join_all().await {
+        let status = result.expect("the daemon responds").status;
+        let runs = fleet.runs(&testkit::request_id(&order));
+        let is_consistent = match status {
+            200 => runs == 1,
+            503 => runs == 0,
+            _ => runs <= 1,
+        };
+        assert!(is_consistent, "{loss:?}: {status} after {runs} runs");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_whose_connections_to_all_servers_hang_serves_its_callers() {
+    check_vm_without_servers(Loss::Hang).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_that_all_servers_refuse_serves_its_callers() {
+    check_vm_without_servers(Loss::Refuse).await;
+}
+
+/// Servers that are all gone are no partition: no VM can help, and requests are refused as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn vms_refuse_requests_when_all_servers_are_gone() {
+    let mut fleet = Fleet::start().await;
+    assert_eq!(fleet.served(0).await, REQUESTS);
+    for vm in 0..2 {
+        fleet.cut(vm, Loss::Refuse);
+    }
+    for vm in 0..2 {
+        fleet.send_during_contact_time(vm).await;
+    }
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let order = fleet.request(number % 2, Method::POST, "/order/1");
+        calls.spawn(async move { (call(&order).await, order) });
+    }
+    for (result, order) in calls.join_all().await {
+        let response = result.expect("the daemon responds");
+        assert_eq!(response.status, 503, "{}", response.text());
+        assert_eq!(fleet.runs(&testkit::request_id(&order)), 0);
+    }
+    eventually("both VMs are still ready", async || {
+        fleet.vms[0].daemon.readiness_status().await == Some(200)
+            && fleet.vms[1].daemon.readiness_status().await == Some(200)
+    })
+    .await;
+}
