Forward requests to other VMs while this one reaches no server

Callers saw: at VMs that were partitioned from all servers, first attempts failed after 0.8 to 1.9 s (20 of 193 served, 113 of 113 at the others). Cause: a VM depends on its own links to the servers. It stays in rotation (and must: a zone with fewer than half of its VMs in rotation uses all, and open connections stay), but had no way to use another VM's links. Relays tell such a VM of up to eight VMs that reach servers; it forwards requests that it has sent to no server, and answers what they answer. The other VM doesn't forward them further or count them for its budgets. Ruled out: leaving the rotation only (open connections, and zones where most VMs are cut); responses on old connections as a sign (they live on). If no VM reaches a server, requests are refused as before.

--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -1,10 +1,11 @@
 //! Blackboard of an entry VM in hosted mode.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use arc_swap::ArcSwapOption;
-use tokio::sync::Notify;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, timeout};
 
 use model::RevisionNumber;
@@ -21,6 +22,10 @@
     sync_notify: Notify,
     /// Whether this entry VM is shutting down.
     is_draining: AtomicBool,
+    /// Whether this entry VM reaches no backend server of any service.
+    has_lost_servers: watch::Sender<bool>,
+    /// Caller addresses of other entry VMs that reach backend servers.
+    helpers: ArcSwap<Vec<SocketAddr>>,
 }
 
 impl HostedBoard {
@@ -90,6 +95,35 @@
         self.is_draining.load(Ordering::Acquire)
     }
 
+    /// Whether this entry VM reaches backend servers, as far as it knows.
+    pub fn reaches_servers(&self) -> bool {
+        !*self.has_lost_servers.borrow()
+    }
+
+    /// Records whether this entry VM reaches backend servers. Returns whether that changed.
+    pub fn set_reaches_servers(&self, reaches_servers: bool) -> bool {
+        self.has_lost_servers.send_if_modified(|has_lost| {
+            let has_changed = *has_lost == reaches_servers;
+            *has_lost = !reaches_servers;
+            has_changed
+        })
+    }
+
+    /// Returns a receiver of whether this entry VM has lost all backend servers.
+    pub fn watch_lost_servers(&self) -> watch::Receiver<bool> {
+        self.has_lost_servers.subscribe()
+    }
+
+    /// Returns the caller addresses of other entry VMs that reach backend servers.
+    pub fn helpers(&self) -> Arc<Vec<SocketAddr>> {
+        self.helpers.load_full()
+    }
+
+    /// Replaces the caller addresses of other entry VMs that reach backend servers.
+    pub fn set_helpers(&self, helpers: Vec<SocketAddr>) {
+        self.helpers.store(Arc::new(helpers));
+    }
+
     /// Whether this entry VM should receive new connections.
     pub fn is_ready(&self) -> bool {
         self.is_synced() && !self.is_draining()
--- a/components/daemon/src/hosted/crash_exchange.rs
+++ b/components/daemon/src/hosted/crash_exchange.rs
@@ -1,13 +1,17 @@
-//! Exchanges crash reports between relays, so that the subscribers of all of them know each report.
+//! Exchanges crash reports between relays, so that the subscribers of all of them know each report,
+//! and tells which VMs reach backend servers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, interval, sleep};
 
 use model::jittered;
 use observe::{Logger, info};
-use peers::{HeldVersions, PeerError, RelayMessage, RelaySubscription};
+use peers::{
+    HELPER_INTERVAL, HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription,
+    SubscriberMessage,
+};
 use quarantine::CrashBoard;
 use settings::HostedTiming;
 
@@ -15,6 +19,7 @@
 pub(crate) struct CrashExchange {
     relay: SocketAddr,
     crashes: Arc<CrashBoard>,
+    hub: Arc<RelayHub>,
     timing: HostedTiming,
     log: Logger,
 }
@@ -23,10 +28,11 @@
     pub(crate) fn new(
         relay: SocketAddr,
         crashes: Arc<CrashBoard>,
+        hub: Arc<RelayHub>,
         timing: HostedTiming,
         log: Logger,
     ) -> Self {
-        Self { relay, crashes, timing, log }
+        Self { relay, crashes, hub, timing, log }
     }
 
     /// Exchanges reports until the future is dropped. Connects again whenever the connection ends.
@@ -48,6 +54,7 @@
             };
             info!(self.log, "relay: exchange of crash reports failed; connecting again";
                 "relay" => %self.relay, "reason" => %error);
+            self.hub.set_relay_helpers(self.relay, Vec::new());
             sleep(jittered(pause)).await;
             pause = self.timing.last_relay_grace.min(pause * 2);
         }
@@ -55,11 +62,17 @@
 
     async fn exchange(&self, mut connection: RelaySubscription) -> PeerError {
         let mut crash_feed = self.crashes.feed();
+        let mut helper_ticks = interval(HELPER_INTERVAL);
         loop {
             let result = tokio::select! {
                 received = connection.next(self.timing.relay_silence_timeout) => {
                     received.map(|message| self.apply(message))
                 }
+                _ = helper_ticks.tick() => {
+                    let callers = self.hub.own_helpers();
+                    let message = SubscriberMessage::Helpers { callers, needs_helpers: false };
+                    connection.send(&message).await
+                }
                 reports = crash_feed.next() => connection.send_crash_reports(reports).await,
             };
             if let Err(error) = result {
@@ -69,9 +82,11 @@
     }
 
     fn apply(&self, message: RelayMessage) {
-        // An older version of the daemon takes this relay for a subscriber and sends other messages.
-        if let RelayMessage::CrashReports(reports) = message {
-            self.crashes.merge(&reports, Instant::now());
+        match message {
+            RelayMessage::CrashReports(reports) => self.crashes.merge(&reports, Instant::now()),
+            RelayMessage::Helpers(helpers) => self.hub.set_relay_helpers(self.relay, helpers),
+            // An older version of the daemon takes this relay for a subscriber.
+            _ => {}
         }
     }
 }
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -12,7 +12,9 @@
 use limits::slack_share;
 use model::jittered;
 use observe::info;
-use peers::{MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberTurns};
+use peers::{
+    MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
+};
 use routes::ServerChange;
 use settings::HostedTiming;
 
@@ -21,6 +23,8 @@
 /// Subscribes to one relay at a time and moves on to the next when it fails or is stale.
 pub(crate) struct RelaySubscriber {
     relays: Vec<SocketAddr>,
+    /// Address at which callers, and other VMs, reach this one.
+    callers: SocketAddr,
     view: Arc<PlatformView>,
     /// Slack of the fleet-wide retry budget.
     slack: f64,
@@ -43,11 +47,12 @@
 impl RelaySubscriber {
     pub(crate) fn new(
         relays: Vec<SocketAddr>,
+        callers: SocketAddr,
         view: Arc<PlatformView>,
         slack: f64,
         timing: HostedTiming,
     ) -> Self {
-        Self { relays, view, slack, timing }
+        Self { relays, callers, view, slack, timing }
     }
 
     /// Receives updates from relays until the future is dropped. Sends the time at which the state
@@ -111,9 +116,19 @@
         let mut crash_feed = self.view.crashes.feed();
         // Older versions of the daemon don't exchange crash reports.
         let mut exchanges_crash_reports = false;
+        let mut lost_servers = self.view.board.watch_lost_servers();
+        // The first message tells it to the relay.
+        lost_servers.mark_changed();
         loop {
             let received = tokio::select! {
                 received = subscription.next(self.timing.relay_silence_timeout) => received,
+                _ = lost_servers.changed(), if exchanges_crash_reports => {
+                    let needs_helpers = *lost_servers.borrow_and_update();
+                    match subscription.send(&self.access_message(needs_helpers)).await {
+                        Ok(()) => continue,
+                        Err(error) => Err(error),
+                    }
+                }
                 reports = crash_feed.next(), if exchanges_crash_reports => {
                     match subscription.send_crash_reports(reports).await {
                         Ok(()) => continue,
@@ -152,6 +167,12 @@
         }
     }
 
+    /// Tells a relay whether this VM reaches backend servers.
+    fn access_message(&self, needs_helpers: bool) -> SubscriberMessage {
+        let callers = if needs_helpers { Vec::new() } else { vec![self.callers] };
+        SubscriberMessage::Helpers { callers, needs_helpers }
+    }
+
     fn apply_message(
         &self,
         message: RelayMessage,
@@ -171,6 +192,10 @@
                 }
                 view.apply_changes(version, changes);
             }
+            RelayMessage::Helpers(mut helpers) => {
+                helpers.retain(|helper| *helper != self.callers);
+                view.board.set_helpers(helpers);
+            }
             RelayMessage::CrashReports(reports) => view.crashes.merge(&reports, Instant::now()),
             RelayMessage::KeepAlive { is_store_unreachable, members, turns, .. } => {
                 view.set_store_unreachable(is_store_unreachable);
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -1,5 +1,6 @@
 //! Starts the components of a hosted entry VM and shuts them down in order.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -68,7 +69,7 @@
     let mut signals = StopSignals::new().map_err(|error| start_error("signals", &error))?;
     let board = Arc::new(HostedBoard::default());
     let metrics = HostedMetrics::new();
-    let services = Arc::new(new_services(&settings, &metrics, &log));
+    let services = Arc::new(new_services(&settings, &board, &metrics, &log));
     let mut background = JoinSet::new();
     background.spawn(flush_logs(logs));
     let callers = listen(settings.callers, "callers").await?;
@@ -101,6 +102,13 @@
         log.clone(),
     ));
     if let Some(hub) = &view.hub {
+        let access = update_own_access(
+            Arc::clone(hub),
+            Arc::clone(&board),
+            settings.callers,
+            timing.keep_alive_interval,
+        );
+        background.spawn(access);
         let (hub, services) = (Arc::clone(hub), Arc::clone(&services));
         background.spawn(update_slack_share(hub, services, settings.clone(), timing));
     }
@@ -162,7 +170,8 @@
     let hub = Arc::new(RelayHub::new(relay_timing, settings.first_start, Arc::clone(crashes)));
     for relay in settings.relays.iter().filter(|relay| settings.relay < **relay) {
         // The other one of two relays connects to this one.
-        let exchange = CrashExchange::new(*relay, Arc::clone(crashes), *timing, log.clone());
+        let (crashes, hub) = (Arc::clone(crashes), Arc::clone(&hub));
+        let exchange = CrashExchange::new(*relay, crashes, hub, *timing, log.clone());
         background.spawn(exchange.run());
     }
     background.spawn(serve_relay(listener, Arc::clone(&hub), log.clone()));
@@ -198,7 +207,8 @@
     };
     let subscriber = (!is_relay && !settings.relays.is_empty()).then(|| {
         let relays = settings.relays.clone();
-        RelaySubscriber::new(relays, Arc::clone(view), settings.retries.slack, *timing)
+        let slack = settings.retries.slack;
+        RelaySubscriber::new(relays, settings.callers, Arc::clone(view), slack, *timing)
     });
     let ages = ReadAges {
         first_read_delay: timing.first_read_delay,
@@ -207,6 +217,28 @@
     PlatformWatcher::new(Arc::clone(view), call_config, subscriber, ages)
 }
 
+/// Tells the hub whether this relay reaches backend servers, and takes other VMs from it if not.
+async fn update_own_access(
+    hub: Arc<RelayHub>,
+    board: Arc<HostedBoard>,
+    callers: SocketAddr,
+    update_interval: Duration,
+) {
+    let mut lost_servers = board.watch_lost_servers();
+    let mut ticks = interval(update_interval);
+    loop {
+        let has_lost = *lost_servers.borrow_and_update();
+        hub.set_own_access(callers, !has_lost);
+        if has_lost {
+            board.set_helpers(hub.helpers());
+        }
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = lost_servers.changed() => {}
+        }
+    }
+}
+
 /// Updates this relay's own share of the retry budget's slack, which is divided among its
 /// subscribers and itself.
 async fn update_slack_share(
@@ -231,6 +263,7 @@
 
 fn new_services(
     settings: &HostedSettings,
+    board: &Arc<HostedBoard>,
     metrics: &HostedMetrics,
     log: &Logger,
 ) -> HostedServices {
@@ -240,7 +273,8 @@
         zone_cost_per_kib: settings.cross_zone_requests_per_gb * 1024.0 / BYTES_PER_GB,
     };
     let turns = SendTurns::unassigned(settings.relays.len(), rand::random(), Instant::now());
-    HostedServices::new(placement, attempt_limits(settings), turns, metrics.clone(), log.clone())
+    let (board, metrics) = (Arc::clone(board), metrics.clone());
+    HostedServices::new(placement, attempt_limits(settings), turns, board, metrics, log.clone())
 }
 
 fn attempt_limits(settings: &HostedSettings) -> AttemptLimits {
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -31,6 +31,10 @@
     pub quarantined: IntGauge,
     /// Requests refused because they are quarantined.
     pub quarantine_refusals: IntCounter,
+    /// Whether this VM reaches backend servers: 1, or 0 while it reaches none.
+    pub server_access: IntGauge,
+    /// Requests forwarded to other VMs, while this one reached no backend server.
+    pub forwarded_requests: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Failed calls to the platform's store.
@@ -98,6 +102,14 @@
                 "mustardrail_quarantine_refusals_total",
                 "Requests refused because they are quarantined.",
             ),
+            server_access: gauge(
+                "mustardrail_server_access",
+                "Whether backend servers are reachable: 1, or 0 while none is.",
+            ),
+            forwarded_requests: counter(
+                "mustardrail_forwarded_requests_total",
+                "Requests forwarded to other VMs, while no backend server was reachable.",
+            ),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -12,13 +12,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast;
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use limits::{MemberId, ShareLedger, share_divisor};
-use model::StoreVersion;
+use model::{FastMap, StoreVersion};
 use observe::{Logger, info, warn};
 use quarantine::{CrashBoard, CrashReport};
 use routes::{RouteTable, ServerChange, ServerRecord};
@@ -41,6 +42,12 @@
 /// Part of the timeout of a subscription that may pass until the connection is open.
 const CONNECT_TIMEOUT_RATIO: f64 = 0.25;
 
+/// Maximum number of VMs that reach backend servers in one message.
+const MAX_HELPERS: usize = 8;
+
+/// Interval at which relays tell each other of VMs that reach backend servers.
+pub const HELPER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -67,6 +74,14 @@
 pub enum SubscriberMessage {
     /// Crash reports, of which the relay may hold some already.
     CrashReports(Vec<CrashReport>),
+    /// Which VMs reach backend servers, as far as the sender knows: itself, or subscribers of another
+    /// relay.
+    Helpers {
+        /// Their caller addresses.
+        callers: Vec<SocketAddr>,
+        /// Whether the sender reaches none and needs other VMs.
+        needs_helpers: bool,
+    },
 }
 
 /// A message from a relay to a subscriber.
@@ -93,6 +108,9 @@
     /// Crash reports, of which the subscriber may hold some already. Between relays, an empty list
     /// is the keep-alive message.
     CrashReports(Vec<CrashReport>),
+    /// Caller addresses of some VMs that reach backend servers: for a subscriber that reaches none,
+    /// and for other relays.
+    Helpers(Vec<SocketAddr>),
     /// Keep-alive message.
     #[serde(rename = "Alive")]
     KeepAlive {
@@ -167,12 +185,42 @@
     is_store_unreachable: bool,
     shares: ShareLedger,
     next_member: u64,
+    /// Caller addresses of VMs that reach backend servers, by the connection that told of them: of a
+    /// subscriber or another relay.
+    helpers: FastMap<HelperSource, Vec<SocketAddr>>,
+    next_connection: u64,
     /// Turns in use: 0 is the relay's own, the others are those of subscribers.
     used_turns: BTreeSet<u32>,
     /// Start of the clock that the subscribers share.
     started_at: Instant,
 }
 
+/// Where a relay knows VMs from that reach backend servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum HelperSource {
+    /// The relay itself.
+    Own,
+    /// A connection from a subscriber.
+    Subscriber(u64),
+    /// A connection from another relay.
+    Relay(u64),
+    /// A connection to another relay.
+    DialedRelay(SocketAddr),
+}
+
+/// A connection whose other end tells which VMs reach backend servers. What it told is forgotten
+/// when this is dropped.
+struct HelperConnection<'a> {
+    hub: &'a RelayHub,
+    source: HelperSource,
+}
+
+impl Drop for HelperConnection<'_> {
+    fn drop(&mut self) {
+        self.hub.state().helpers.remove(&self.source);
+    }
+}
+
 /// A member among which this relay divides budgets and turns: a subscriber, or the relay itself.
 #[derive(Debug, Clone, Copy)]
 struct Membership {
@@ -283,6 +331,8 @@
             is_store_unreachable: false,
             shares: ShareLedger::new(retention, is_first_start, now),
             next_member: 0,
+            helpers: FastMap::default(),
+            next_connection: 0,
             used_turns: BTreeSet::new(),
             started_at: now,
         };
@@ -452,11 +502,68 @@
         Ok((missing, self.updates.subscribe()))
     }
 
-    /// Applies a message of a subscriber and its size.
-    fn apply(&self, (message, _): (SubscriberMessage, u64)) {
+    /// Records whether the relay itself reaches backend servers, and its caller address.
+    pub fn set_own_access(&self, callers: SocketAddr, reaches_servers: bool) {
+        let helpers = if reaches_servers { vec![callers] } else { Vec::new() };
+        self.set_helpers(HelperSource::Own, helpers);
+    }
+
+    /// Records which VMs another relay knows that reach backend servers.
+    pub fn set_relay_helpers(&self, relay: SocketAddr, helpers: Vec<SocketAddr>) {
+        self.set_helpers(HelperSource::DialedRelay(relay), helpers);
+    }
+
+    /// Returns some VMs that reach backend servers.
+    pub fn helpers(&self) -> Vec<SocketAddr> {
+        self.sample_helpers(|_| true)
+    }
+
+    /// Returns some VMs that reach backend servers, of this relay and its own subscribers.
+    pub fn own_helpers(&self) -> Vec<SocketAddr> {
+        self.sample_helpers(|source| {
+            matches!(source, HelperSource::Own | HelperSource::Subscriber(_))
+        })
+    }
+
+    fn sample_helpers(&self, is_included: impl Fn(&HelperSource) -> bool) -> Vec<SocketAddr> {
+        let state = self.state();
+        let included = state.helpers.iter().filter(|(source, _)| is_included(source));
+        let mut helpers: Vec<SocketAddr> =
+            included.flat_map(|(_, helpers)| helpers).copied().collect();
+        drop(state);
+        helpers.shuffle(&mut rand::rng());
+        helpers.truncate(MAX_HELPERS);
+        helpers
+    }
+
+    fn set_helpers(&self, source: HelperSource, mut helpers: Vec<SocketAddr>) {
+        helpers.truncate(MAX_HELPERS);
+        self.state().helpers.insert(source, helpers);
+    }
+
+    fn connect_helpers(&self, source: impl Fn(u64) -> HelperSource) -> HelperConnection<'_> {
+        let mut state = self.state();
+        let number = state.next_connection;
+        state.next_connection += 1;
+        drop(state);
+        HelperConnection { hub: self, source: source(number) }
+    }
+
+    /// Applies a message from a connection, and its size. Returns whether the other end needs VMs
+    /// that reach backend servers, if the message tells.
+    fn apply(
+        &self,
+        connection: &HelperConnection<'_>,
+        (message, _): (SubscriberMessage, u64),
+    ) -> Option<bool> {
         match message {
             SubscriberMessage::CrashReports(reports) => {
                 self.crashes.merge(&reports, Instant::now());
+                None
+            }
+            SubscriberMessage::Helpers { callers, needs_helpers } => {
+                self.set_helpers(connection.source, callers);
+                Some(needs_helpers)
             }
         }
     }
@@ -513,7 +620,10 @@
         socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
     }
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut helper_ticks = interval(hub.timing.keep_alive_interval);
     let mut crash_feed = hub.crashes.feed();
+    let connection = hub.connect_helpers(HelperSource::Subscriber);
+    let mut needs_helpers = false;
     loop {
         let message = tokio::select! {
             biased;
@@ -522,8 +632,14 @@
                 EncodedMessage::new(&RelayMessage::CrashReports(reports))?
             }
             received = socket.receive(), if held.exchanges_crash_reports => {
-                hub.apply(received?);
-                continue;
+                needs_helpers = hub.apply(&connection, received?).unwrap_or(needs_helpers);
+                if !needs_helpers {
+                    continue;
+                }
+                EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
+            }
+            _ = helper_ticks.tick(), if needs_helpers => {
+                EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
             }
             _ = keep_alive_ticks.tick() => {
                 match hub.keep_alive(&updates, &member.membership, Instant::now()) {
@@ -543,18 +659,21 @@
     hub: &RelayHub,
 ) -> Result<Infallible, PeerError> {
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut helper_ticks = interval(HELPER_INTERVAL);
     let mut crash_feed = hub.crashes.feed();
+    let connection = hub.connect_helpers(HelperSource::Relay);
     loop {
-        let reports = tokio::select! {
+        let message = tokio::select! {
             biased;
-            reports = crash_feed.next() => reports,
+            reports = crash_feed.next() => RelayMessage::CrashReports(reports),
             received = socket.receive() => {
-                hub.apply(received?);
+                hub.apply(&connection, received?);
                 continue;
             }
-            _ = keep_alive_ticks.tick() => Vec::new(),
+            _ = helper_ticks.tick() => RelayMessage::Helpers(hub.own_helpers()),
+            _ = keep_alive_ticks.tick() => RelayMessage::CrashReports(Vec::new()),
         };
-        let message = EncodedMessage::new(&RelayMessage::CrashReports(reports))?;
+        let message = EncodedMessage::new(&message)?;
         socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await?;
     }
 }
@@ -621,7 +740,12 @@
 
     /// Sends crash reports; fails if the relay accepts no byte for too long.
     pub async fn send_crash_reports(&mut self, reports: Vec<CrashReport>) -> Result<(), PeerError> {
-        let message = EncodedMessage::new(&SubscriberMessage::CrashReports(reports))?;
+        self.send(&SubscriberMessage::CrashReports(reports)).await
+    }
+
+    /// Sends a message; fails if the relay accepts no byte for too long.
+    pub async fn send(&mut self, message: &SubscriberMessage) -> Result<(), PeerError> {
+        let message = EncodedMessage::new(message)?;
         self.socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await
     }
 }
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -94,7 +94,7 @@
 }
 
 /// Statuses by which the entry VM's callers know that a request has not run.
-const PROMISE_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub(crate) const PROMISE_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// A response to forward to the caller.
 pub(crate) struct ServerResponse {
@@ -179,7 +179,10 @@
         Ok(Err(error)) if error.kind() == ErrorKind::ResourceBusy => {
             Err(NotRunReason::NoConnection)
         }
-        _ => Err(NotRunReason::Unreachable),
+        _ => {
+            service.access.record_failure(address);
+            Err(NotRunReason::Unreachable)
+        }
     }
 }
 
@@ -241,6 +244,9 @@
     exchange: Exchange,
 ) -> AttemptOutcome {
     lease.service.contacts.record(exchange.connection.address(), Instant::now());
+    if !exchange.connection.has_responded() {
+        lease.service.access.record_success();
+    }
     let status = exchange.response.status().as_u16();
     let headers = exchange.response.headers();
     let report = (context.wire.read_load)(headers);
@@ -354,7 +360,7 @@
 
 /// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter. Returns
 /// whether the end was reached.
-async fn buffer_body(incoming: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
+pub(crate) async fn buffer_body(incoming: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
     let mut buffered = BytesMut::new();
     while buffered.len() < MAX_BUFFERED_RESPONSE_BYTES {
         let Some(frame) = incoming.frame().await else {
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -20,6 +20,7 @@
     ServerIncarnation, ServerTicket, admit, hedge_delay, limited_retry_delay, long_retry_delay,
     queue_poll_interval, short_retry_delay,
 };
+use board::HostedBoard;
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
 use quarantine::Fingerprint;
@@ -32,9 +33,9 @@
 };
 use crate::hosted::crash_detector::{BrokenServer, CrashDetector};
 use crate::hosted::refusal::HostedRefusal;
-use crate::hosted::selection::{SelectedServer, SelectionContext, select_server};
+use crate::hosted::selection::{SelectedServer, SelectionContext, check_access, select_server};
 use crate::hosted::service::HostedService;
-use crate::pool::ReusePolicy;
+use crate::pool::{ConnectionPool, ReusePolicy};
 use crate::request_body::RequestBody;
 
 /// Attempts that can't reach their server until a pause precedes each further one.
@@ -46,7 +47,12 @@
     pub(crate) metrics: &'a HostedMetrics,
     pub(crate) route: &'a HostedRoute,
     pub(crate) service: &'a Arc<HostedService>,
+    pub(crate) board: &'a HostedBoard,
     pub(crate) crashes: &'a Arc<CrashDetector>,
+    /// Connections to other VMs.
+    pub(crate) helper_pool: &'a ConnectionPool,
+    /// Whether another VM forwarded the request to this one.
+    pub(crate) is_forwarded: bool,
     pub(crate) health_path: Option<&'a str>,
     pub(crate) request_id: HeaderValue,
     pub(crate) head: RequestHead,
@@ -98,10 +104,17 @@
 impl HostedDispatch<'_> {
     /// Sends the request until there is a response to forward or no further attempt is possible.
     pub(crate) async fn run(&mut self) -> Result<ServerResponse, HostedRefusal> {
+        if self.should_forward() {
+            check_access(&self.selection_context(), self.shape);
+            return self.forward().await;
+        }
         let mut sent_flags: SentFlags = Vec::new();
         let result =
             timeout_at(self.deadline + RESPONSE_GRACE, self.run_attempts(&mut sent_flags)).await;
         match result {
+            Ok(Err(refusal)) if refusal.is_not_run() && self.should_forward() => {
+                self.forward().await
+            }
             Ok(result) => result.map_err(|refusal| self.account_for_earlier_attempts(refusal)),
             Err(_) => {
                 let is_sent = sent_flags.iter().any(|flag| flag.load(Ordering::Acquire));
@@ -176,6 +189,9 @@
                 None if self.may_retry() => {}
                 None => return error_response.ok_or_else(|| self.refusal_without_response()),
             }
+            if self.should_forward() {
+                return Err(HostedRefusal::NoServer);
+            }
             self.pause_after_unsent_attempts().await;
             let server = match error_response.is_some() {
                 true => self.acquire_another_server().await,
@@ -252,7 +268,7 @@
     }
 
     /// Refuses a request that is known to crash its servers.
-    fn check_quarantine(&self) -> Result<(), HostedRefusal> {
+    pub(crate) fn check_quarantine(&self) -> Result<(), HostedRefusal> {
         let content = self.suspected_fingerprint();
         match content.and_then(|content| self.crashes.quarantine_left(content)) {
             Some(left) => {
@@ -400,13 +416,17 @@
     }
 
     async fn select_server(&mut self) -> Option<SelectedServer> {
-        let context = SelectionContext {
+        let context = self.selection_context();
+        select_server(&context, self.shape, &self.progress.attempted_servers).await
+    }
+
+    fn selection_context(&self) -> SelectionContext<'_> {
+        SelectionContext {
             service: self.service,
             wire: self.wire,
             metrics: self.metrics,
             health_path: self.health_path,
-        };
-        select_server(&context, self.shape, &self.progress.attempted_servers).await
+        }
     }
 
     /// Returns when the hedged attempt starts if the first one has no response by then.
--- /dev/null
+++ b/components/proxy/src/hosted/forward.rs
@@ -0,0 +1,162 @@
+//! Forwards a request to another entry VM, while this one reaches no backend server.
+//!
+//! To the other VM the request is one of a caller, except that it doesn't forward it further and
+//! doesn't count it for its budgets, which this VM has done. What the other VM responds is the
+//! response here: a backend server's own, or a refusal with the same promise.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response};
+use rand::seq::SliceRandom;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use model::ServerId;
+
+use crate::body::{BackendRequestBody, CallerResponseBody};
+use crate::headers::remove_hop_by_hop;
+use crate::hosted::attempt::{PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body};
+use crate::hosted::dispatch::HostedDispatch;
+use crate::hosted::refusal::HostedRefusal;
+use crate::pool::{BackendConnection, ReusePolicy};
+use crate::prefixed_body::PrefixedBody;
+use crate::response_body::ResponseBody;
+
+/// Marks a request that another entry VM has forwarded.
+pub(crate) const FORWARDED_HEADER: HeaderName = HeaderName::from_static("mustardrail-forwarded");
+
+/// Other VMs to which a request is offered until one accepts the connection.
+const MAX_HELPERS: usize = 3;
+
+/// Timeout for opening a connection to another VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Largest number of connections to one other VM.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Retry delay for callers if the refusal of the other VM names none.
+const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
+
+impl HostedDispatch<'_> {
+    /// Whether other VMs should serve the request: this one reaches no server, and has not sent it
+    /// to any.
+    pub(crate) fn should_forward(&self) -> bool {
+        !self.is_forwarded
+            && self.progress.attempts == 0
+            && !self.progress.may_have_run
+            && self.body.can_send()
+            && self.service.access.is_lost()
+            && !self.board.helpers().is_empty()
+    }
+
+    /// Forwards the request to another VM and returns what that responds.
+    pub(crate) async fn forward(&mut self) -> Result<ServerResponse, HostedRefusal> {
+        self.check_quarantine()?;
+        self.metrics.forwarded_requests.inc();
+        let mut helpers = self.board.helpers().to_vec();
+        helpers.shuffle(&mut rand::rng());
+        for helper in helpers.into_iter().take(MAX_HELPERS) {
+            let Some(mut connection) = self.connect_helper(helper).await else {
+                continue;
+            };
+            let request = self.forwarded_request();
+            let can_retry = self.body.can_send();
+            let deadline = self.deadline + RESPONSE_GRACE;
+            let sending = connection.sender.try_send_request(request);
+            let mut error = match timeout_at(deadline, sending).await {
+                Err(_) => return Err(HostedRefusal::DeadlineAfterSend),
+                Ok(Ok(response)) => return self.read_forwarded(response, connection).await,
+                Ok(Err(error)) => error,
+            };
+            if error.take_message().is_none() || !can_retry {
+                return Err(HostedRefusal::NoUsableResponse);
+            }
+        }
+        Err(HostedRefusal::NoServer)
+    }
+
+    async fn connect_helper(&self, helper: SocketAddr) -> Option<BackendConnection> {
+        let pool = &self.helper_pool;
+        if let Some(connection) =
+            pool.take_idle(helper, ReusePolicy::NoRecentResponse, Instant::now())
+        {
+            return Some(connection);
+        }
+        timeout(CONNECT_TIMEOUT, pool.open(helper, MAX_CONNECTIONS)).await.ok()?.ok()
+    }
+
+    fn forwarded_request(&mut self) -> Request<BackendRequestBody> {
+        let mut request = Request::new(self.body.body_for_attempt());
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.target.clone();
+        let mut headers = self.head.headers.clone();
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        headers.insert(
+            &self.wire.headers.deadline_ms,
+            HeaderValue::from(remaining.as_millis() as u64),
+        );
+        headers.insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn read_forwarded(
+        &self,
+        response: Response<hyper::body::Incoming>,
+        mut connection: BackendConnection,
+    ) -> Result<ServerResponse, HostedRefusal> {
+        let (mut parts, mut incoming) = response.into_parts();
+        let names = &self.wire.headers;
+        let headers = &parts.headers;
+        if !headers.contains_key(&names.signature) {
+            return Err(refusal_of_helper(parts.status.as_u16(), headers));
+        }
+        if headers.get(&names.request_id) != Some(&self.request_id) {
+            return Err(HostedRefusal::NoUsableResponse);
+        }
+        let server = headers.get(&names.responding_server).and_then(|id| id.to_str().ok());
+        let server: Option<ServerId> = server.and_then(|id| id.parse().ok());
+        let server =
+            server.unwrap_or_else(|| "forwarded".parse().expect("the literal is a valid name"));
+        remove_hop_by_hop(&mut parts.headers);
+        let deadline = self.deadline + RESPONSE_GRACE;
+        let buffered = timeout_at(deadline, buffer_body(&mut incoming)).await;
+        let Ok(Ok((bytes, is_complete))) = buffered else {
+            return Err(HostedRefusal::NoUsableResponse);
+        };
+        let (body_bytes, body): (_, CallerResponseBody) = match is_complete {
+            true => {
+                let body_bytes = Some(bytes.len() as u64);
+                connection.record_response(Instant::now(), None);
+                self.helper_pool.put_idle(connection, Instant::now());
+                (body_bytes, Full::new(bytes).map_err(|never| match never {}).boxed_unsync())
+            }
+            false => {
+                let close_guard = connection.close_at(deadline);
+                let on_end = move |_| drop((close_guard, connection));
+                let rest = ResponseBody::new(incoming, deadline, on_end, ());
+                (None, PrefixedBody::new(bytes, rest).boxed_unsync())
+            }
+        };
+        let http = Response::from_parts(parts, body);
+        Ok(ServerResponse { http, server, report_age: None, limit: None, body_bytes })
+    }
+}
+
+/// Returns the refusal with the same promise as another VM's own response.
+fn refusal_of_helper(status: u16, headers: &HeaderMap) -> HostedRefusal {
+    let retry_delay = headers.get(RETRY_AFTER).and_then(|text| text.to_str().ok());
+    let retry_delay = retry_delay.and_then(|text| text.parse().ok());
+    let retry_delay = retry_delay.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    match status {
+        // Its own responses with these statuses are sent before the request is.
+        400 | 404 | 413 => HostedRefusal::NoServer,
+        504 => HostedRefusal::DeadlineAfterSend,
+        _ if PROMISE_STATUSES.contains(&status) => {
+            HostedRefusal::Shed(retry_delay.unwrap_or(DEFAULT_RETRY_DELAY))
+        }
+        _ => HostedRefusal::NoUsableResponse,
+    }
+}
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -24,6 +24,7 @@
 use crate::hosted::attempt::ServerResponse;
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
+use crate::hosted::forward::FORWARDED_HEADER;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::route_stats::RouteStatsTable;
 use crate::hosted::service::HostedServices;
@@ -163,7 +164,11 @@
         let time_before_attempt = self.route_stats.time_before_attempt(route, requested_time);
         let deadline = now + requested_time.min(route.timeout);
         let service = self.services.get_or_create(&self.route_stats.next_service(route));
-        service.budget().record_request(now);
+        let is_forwarded = request.headers().contains_key(FORWARDED_HEADER);
+        if !is_forwarded {
+            // The VM that forwarded it has counted it.
+            service.budget().record_request(now);
+        }
         progress.service = Some(service.name.clone());
         let body = self.read_body(table, incoming, deadline).await?;
         let request_bytes = body.buffered_bytes() as u64;
@@ -182,7 +187,10 @@
             metrics: &self.metrics,
             route,
             service: &service,
+            board: &self.board,
             crashes: &self.crashes,
+            helper_pool: &self.services.helper_pool,
+            is_forwarded,
             health_path,
             request_id,
             head: forwarded_head(request)?,
@@ -310,6 +318,7 @@
     let mut headers = parts.headers;
     remove_hop_by_hop(&mut headers);
     headers.remove("expect");
+    headers.remove(FORWARDED_HEADER);
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
     let target =
         target.parse().map_err(|_| HostedRefusal::Malformed("its target can't be forwarded"))?;
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -10,12 +10,14 @@
 mod contacts;
 mod crash_detector;
 mod dispatch;
+mod forward;
 mod handler;
 mod listener;
 mod refusal;
 mod requested_times;
 mod route_stats;
 mod selection;
+mod server_access;
 mod service;
 
 pub use attempt::MAX_SEND_DELAY;
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -120,6 +120,21 @@
     probes.detach_all();
 }
 
+/// Probes a server while this VM reaches none, to learn when that ends.
+pub(crate) fn check_access(context: &SelectionContext<'_>, shape: RequestShape) {
+    let now = Instant::now();
+    let Some(path) = context.health_path.filter(|_| context.service.access.is_check_due(now))
+    else {
+        return;
+    };
+    let group = context.service.group();
+    let candidates = group.candidates(1, shape, &[], now, &mut rand::rng());
+    drop(group);
+    for ticket in candidates {
+        tokio::spawn(probe_server(context, ticket, path));
+    }
+}
+
 /// Probes a server that gets no requests because of its limit, to learn when the limit ends.
 fn check_limit(context: &SelectionContext<'_>) {
     let is_worth_probing = context.service.group().is_worth_probing();
@@ -145,6 +160,10 @@
         let probe = send_probe(&service, &wire, &limits, ticket, &path);
         if !matches!(timeout(PROBE_TIMEOUT, probe).await, Ok(Some(()))) {
             let now = Instant::now();
+            let address = service.group().id_and_address(ticket).map(|(_, address)| address);
+            if let Some(address) = address {
+                service.access.record_failure(address);
+            }
             service.group().record_outcome(ticket, SampleOutcome::Unreachable, now);
         }
     }
@@ -180,6 +199,9 @@
     let response = connection.sender.send_request(probe_request(address, path)?).await.ok()?;
     service.group().record_probe_time(ticket, sent_at.elapsed());
     service.contacts.record(address, Instant::now());
+    if !connection.has_responded() {
+        service.access.record_success();
+    }
     let headers = response.headers();
     if headers.contains_key(&wire.headers.request_id) {
         // A late copy of the response to a request. The probe's own follows, so the connection is
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -13,6 +13,7 @@
     AssignedTurns, LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape,
     SendTurns, ServerIncarnation, ServerNotice, ServerTicket, StartedRequest,
 };
+use board::HostedBoard;
 use limits::{AttemptBudget, AttemptLimits};
 use model::{FastMap, RequestRate, ServerId};
 use observe::{HostedMetrics, Logger, info, warn};
@@ -20,11 +21,15 @@
 use routes::{ServerRecord, ServiceName};
 
 use crate::hosted::contacts::ServerContacts;
+use crate::hosted::server_access::ServerAccess;
 use crate::pool::ConnectionPool;
 
 /// Idle connections kept per server: one for probes and one for a concurrent request.
 const MAX_IDLE_CONNECTIONS_PER_SERVER: usize = 2;
 
+/// Idle connections kept to each other VM that serves requests for this one.
+const MAX_IDLE_HELPER_CONNECTIONS: usize = 8;
+
 /// State of one service on this entry VM.
 pub(crate) struct HostedService {
     pub(crate) name: ServiceName,
@@ -38,6 +43,8 @@
     /// Number of entry VMs that share them.
     fleet_size: AtomicU32,
     pub(crate) pool: ConnectionPool,
+    /// Whether this VM reaches servers of any service.
+    pub(crate) access: Arc<ServerAccess>,
     /// Last responses from servers of any service.
     pub(crate) contacts: Arc<ServerContacts>,
     metrics: HostedMetrics,
@@ -155,7 +162,10 @@
     /// This entry VM's turns at backend servers that name a limit.
     turns: Mutex<SendTurns>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
+    access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
+    /// Connections to other entry VMs.
+    pub(crate) helper_pool: ConnectionPool,
     /// Held while services are added, or the slack or the turns of all are changed.
     update_lock: Mutex<()>,
     metrics: HostedMetrics,
@@ -169,16 +179,20 @@
         options: PlacementOptions,
         limits: AttemptLimits,
         turns: SendTurns,
+        board: Arc<HostedBoard>,
         metrics: HostedMetrics,
         log: Logger,
     ) -> Self {
+        let access = Arc::new(ServerAccess::new(board, metrics.clone(), log.clone()));
         Self {
             options,
             limits,
             slack: Mutex::new((limits.slack, Instant::now())),
             turns: Mutex::new(turns),
             services: ArcSwap::default(),
+            access,
             contacts: Arc::default(),
+            helper_pool: ConnectionPool::with_idle_limit(MAX_IDLE_HELPER_CONNECTIONS),
             update_lock: Mutex::new(()),
             metrics,
             log,
@@ -208,6 +222,7 @@
         for record in records {
             by_service.entry(&record.service).or_default().push(placement_server(record));
         }
+        let server_count = by_service.values().map(Vec::len).sum();
         for name in by_service.keys() {
             self.get_or_create(name);
         }
@@ -219,6 +234,7 @@
             );
             service.group().set_servers(&servers);
         }
+        self.access.set_server_count(server_count);
     }
 
     /// Closes connections that have been idle for too long.
@@ -226,6 +242,7 @@
         for service in self.services.load().values() {
             service.pool.close_stale(|_| true, now);
         }
+        self.helper_pool.close_stale(|_| true, now);
     }
 
     /// Sets this entry VM's share of the budgets' slack, which applies from now on until
@@ -303,6 +320,7 @@
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
+            access: Arc::clone(&self.access),
             contacts: Arc::clone(&self.contacts),
             metrics: self.metrics.clone(),
             log: self.log.clone(),
