--- a/components/testkit/src/fault_proxy.rs
+++ b/components/testkit/src/fault_proxy.rs
@@ -12,6 +12,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::process_cuts::ProcessCuts;
+
 /// Bytes that are read at once from an unlimited connection.
 const BUFFER_BYTES: usize = 16 << 10;
 
@@ -42,6 +44,11 @@
 impl FaultProxy {
     /// Starts a proxy to `target`.
     pub async fn start(target: SocketAddr) -> Self {
+        Self::start_with_cuts(target, ProcessCuts::default()).await
+    }
+
+    /// Starts a proxy to `target` that forwards no new connections of the processes in `cuts`.
+    pub(crate) async fn start_with_cuts(target: SocketAddr, cuts: ProcessCuts) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound socket has an address");
         let generation = Arc::new(AtomicU64::new(0));
@@ -54,8 +61,8 @@
         let current_bandwidth = Arc::clone(&bandwidth);
         let task = tokio::spawn(async move {
             let mut blackholed = Vec::new();
-            while let Ok((client, _)) = listener.accept().await {
-                if partitioned.load(Ordering::SeqCst) {
+            while let Ok((client, client_address)) = listener.accept().await {
+                if partitioned.load(Ordering::SeqCst) || cuts.applies_to(client_address) {
                     blackholed.push(client);
                     continue;
                 }
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -83,6 +83,11 @@
         self.process.log_path()
     }
 
+    /// The process ID.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Resource usage of the process.
     pub fn usage(&self) -> ProcessUsage {
         ProcessUsage::read(self.process.id())
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 mod hosted;
 mod platform_server;
 mod process;
+mod process_cuts;
 mod property_tests;
 mod soak;
 mod usage;
--- a/components/testkit/src/soak/faults.rs
+++ b/components/testkit/src/soak/faults.rs
@@ -59,6 +59,10 @@
     TerminateDaemonTwice(usize),
     #[display("daemon {_0} is suspended")]
     SuspendDaemon(usize),
+    #[display("daemon {_0} is partitioned from all servers")]
+    CutServers(usize),
+    #[display("all partitions from servers end")]
+    EndServerCuts,
     #[display("suspended daemons resume")]
     ResumeDaemons,
     #[display("daemon {_0} receives SIGHUP")]
@@ -84,7 +88,7 @@
 
 fn draw_fault(random: &mut StdRng) -> FaultKind {
     let number = random.random_range(0..1_000);
-    match random.random_range(0..23) {
+    match random.random_range(0..26) {
         0 | 1 => FaultKind::StoreBehaviour(draw_store_behaviour(random)),
         2 => FaultKind::StoreBehaviour(StoreBehaviour::Serve),
         3 => FaultKind::StoreDelay([0, 50, 400][number % 3]),
@@ -104,6 +108,8 @@
         18 => FaultKind::SuspendDaemon(number),
         19 | 20 => FaultKind::PartitionStore(number),
         21 => [FaultKind::EndStorePartitions, FaultKind::ResetServer(number)][number % 2],
+        22 | 23 => FaultKind::CutServers(number),
+        24 => FaultKind::EndServerCuts,
         _ => [FaultKind::ResumeDaemons, FaultKind::ReloadSettings(number)][number % 2],
     }
 }
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -18,6 +18,7 @@
     HostedBehaviour, HostedDaemon, HostedServer, hosted_config, hosted_route, standard_routes,
 };
 use crate::platform_server::{FakePlatform, StoreBehaviour};
+use crate::process_cuts::ProcessCuts;
 use crate::soak::SoakSize;
 use crate::soak::faults::FaultKind;
 
@@ -70,6 +71,8 @@
     pub(crate) killed_or_suspended: Vec<SocketAddr>,
     /// Caller addresses of the daemons that were killed or received SIGTERM.
     pub(crate) terminated: Vec<SocketAddr>,
+    /// Daemons that are partitioned from all servers.
+    server_cuts: ProcessCuts,
     /// When all faults ended.
     pub(crate) faults_ended_at: Option<Instant>,
     /// When the last store fault started or ended.
@@ -96,6 +99,7 @@
             version: 1,
             killed_or_suspended: Vec::new(),
             terminated: Vec::new(),
+            server_cuts: ProcessCuts::default(),
             faults_ended_at: None,
             store_fault_at: Instant::now(),
             started_servers: 0,
@@ -148,7 +152,8 @@
 
     /// Starts a proxy in front of a server, and lists the server at the address of the proxy.
     async fn register_server(&mut self, hosted_server: HostedServer, record: ServerRecord) {
-        let proxy = FaultProxy::start(hosted_server.record.address).await;
+        let (target, cuts) = (hosted_server.record.address, self.server_cuts.clone());
+        let proxy = FaultProxy::start_with_cuts(target, cuts).await;
         let record = ServerRecord { address: proxy.address, ..record };
         self.platform.put_server(&record);
         hosted_server.set_crash_text(CRASH_TEXT);
@@ -224,6 +229,15 @@
                 let callers = daemon.process.callers;
                 self.killed_or_suspended.push(callers);
             }
+            FaultKind::CutServers(number) => {
+                let process_id = self.daemon(number).process.process_id();
+                self.server_cuts.add(process_id);
+                // Those of the other daemons are reset too, and opened again.
+                for server in &self.servers {
+                    server.proxy.reset_open_connections();
+                }
+            }
+            FaultKind::EndServerCuts => self.server_cuts.end(),
             FaultKind::ResumeDaemons => self.resume_daemons(),
             FaultKind::ReloadSettings(number) => self.daemon(number).process.reload_settings(),
         }
@@ -236,6 +250,7 @@
         self.platform.set_behaviour(StoreBehaviour::Serve);
         self.platform.set_delay(Duration::ZERO);
         self.end_store_partitions();
+        self.server_cuts.end();
         self.resume_daemons();
         for server in &self.servers {
             server.hosted_server.set_behaviour(NORMAL_BEHAVIOUR);
