Make the number of crashes and the time of a quarantine settings

Cause: the figures were those of one platform. Change: optional setting quarantine with crashes (3) and time_s (600); checked, and named in errors. Measured: settings tests pass; they include the settle time over the grid of bounds.

--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -77,9 +77,11 @@
     let context =
         ReadinessContext { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() };
     background.spawn(serve_readiness(readiness, context.clone()));
-    let crash_limits =
-        CrashLimits { settle_time: timing.crash_settle_time, ..CrashLimits::default() };
-    let crashes = Arc::new(CrashBoard::new(crash_limits));
+    let crashes = Arc::new(CrashBoard::new(CrashLimits {
+        crashes: settings.quarantine.crashes,
+        settle_time: timing.crash_settle_time,
+        quarantine_time: Duration::from_secs_f64(settings.quarantine.time_s),
+    }));
     let hub = start_relay(&settings, &timing, &crashes, &mut background, &log).await?;
     if let Some(address) = settings.metrics {
         // The metrics port is the same in every deployment, so another process may already use it.
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -64,6 +64,9 @@
     /// failing this number of requests. 0 if it costs nothing.
     #[serde(default = "default_cross_zone_price")]
     pub cross_zone_requests_per_gb: f64,
+    /// When a request that crashes its servers is refused, and for how long.
+    #[serde(default)]
+    pub quarantine: QuarantineSettings,
     /// Minimum level of log records that are written.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -80,6 +83,22 @@
     pub window_s: f64,
 }
 
+/// When a request that crashes its servers is refused, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct QuarantineSettings {
+    /// Number of crashes after which it is refused.
+    pub crashes: usize,
+    /// How long a crash counts, and how long the request is refused at first, in seconds.
+    pub time_s: f64,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self { crashes: 3, time_s: 600.0 }
+    }
+}
+
 /// Bounds of the platform's promises that times of an entry VM depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostedBounds {
@@ -157,6 +176,11 @@
     required("window_s", FieldKind::Number(0.1, 3_600.0)),
 ];
 
+const QUARANTINE_FIELDS: &[FieldRule] = &[
+    FieldRule { name: "crashes", kind: FieldKind::Integer(1, 1_000), is_required: false },
+    FieldRule { name: "time_s", kind: FieldKind::Number(1.0, 86_400.0), is_required: false },
+];
+
 const HOSTED_FIELDS: &[FieldRule] = &[
     required("vm", FieldKind::NonEmptyString),
     required("zone", FieldKind::Name),
@@ -173,6 +197,11 @@
     optional_seconds("heartbeat_s"),
     optional_seconds("recovery_s"),
     required("retries", FieldKind::Object(RETRY_FIELDS)),
+    FieldRule {
+        name: "quarantine",
+        kind: FieldKind::Object(QUARANTINE_FIELDS),
+        is_required: false,
+    },
     FieldRule { name: "first_start", kind: FieldKind::Boolean, is_required: false },
     FieldRule {
         name: "cross_zone_requests_per_gb",
--- a/components/settings/tests/hosted.rs
+++ b/components/settings/tests/hosted.rs
@@ -47,3 +47,13 @@
     let report = load("bounds.json", &contradictory).expect_err("the bounds can't be met");
     assert!(report.contains("recovery_s") && report.contains("contact_s"), "{report}");
 }
+
+#[test]
+fn quarantine_has_defaults_and_is_checked() {
+    let settings = load("no-quarantine.json", &hosted_settings()).expect("the settings are valid");
+    assert_eq!((settings.quarantine.crashes, settings.quarantine.time_s), (3, 600.0));
+    let mut invalid = hosted_settings();
+    invalid["quarantine"] = json!({ "crashes": 0 });
+    let report = load("quarantine.json", &invalid).expect_err("no crash confirms nothing");
+    assert!(report.contains("quarantine.crashes"), "{report}");
+}
--- a/components/settings/tests/timing.rs
+++ b/components/settings/tests/timing.rs
@@ -168,3 +168,12 @@
     let text = HostedTiming::new(&bounds).expect_err("the window is too short").to_string();
     assert!(text.contains("retries.window_s") && text.contains("drain_s"), "{text}");
 }
+
+/// The fleet must know a request that crashes its servers within the contact time.
+#[test]
+fn crashes_count_well_within_the_contact_time() {
+    for bounds in all_bounds() {
+        let timing = HostedTiming::new(&bounds).expect("the bounds can be met");
+        assert!(timing.crash_settle_time * 4 < bounds.contact, "{bounds:?}, {timing:?}");
+    }
+}
