Prefer other VMs with few requests in flight when forwarding

Seen by reading: a VM that is frozen stays known as one that reaches servers, since its kernel keeps its connection to the relay open, and each request forwarded to it waits until its deadline. Measured: a VM without servers, one frozen and one lost of the three others: at least two thirds of the requests are served.

--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -32,10 +32,11 @@
     run_attempt,
 };
 use crate::hosted::crash_detector::{BrokenServer, CrashDetector};
+use crate::hosted::helpers::Helpers;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::selection::{SelectedServer, SelectionContext, check_access, select_server};
 use crate::hosted::service::HostedService;
-use crate::pool::{ConnectionPool, ReusePolicy};
+use crate::pool::ReusePolicy;
 use crate::request_body::RequestBody;
 
 /// Attempts that can't reach their server until a pause precedes each further one.
@@ -49,8 +50,8 @@
     pub(crate) service: &'a Arc<HostedService>,
     pub(crate) board: &'a HostedBoard,
     pub(crate) crashes: &'a Arc<CrashDetector>,
-    /// Connections to other VMs.
-    pub(crate) helper_pool: &'a ConnectionPool,
+    /// Other VMs, which serve the request if this one reaches no server.
+    pub(crate) helpers: &'a Helpers,
     /// Whether another VM forwarded the request to this one.
     pub(crate) is_forwarded: bool,
     pub(crate) health_path: Option<&'a str>,
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -10,7 +10,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response};
-use rand::seq::SliceRandom;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use model::ServerId;
@@ -55,10 +54,10 @@
     pub(crate) async fn forward(&mut self) -> Result<ServerResponse, HostedRefusal> {
         self.check_quarantine()?;
         self.metrics.forwarded_requests.inc();
-        let mut helpers = self.board.helpers().to_vec();
-        helpers.shuffle(&mut rand::rng());
-        for helper in helpers.into_iter().take(MAX_HELPERS) {
+        for helper in self.helpers.choose(&self.board.helpers(), MAX_HELPERS) {
+            let _lease = self.helpers.lease(helper);
             let Some(mut connection) = self.connect_helper(helper).await else {
+                self.helpers.record_failure(helper);
                 continue;
             };
             let request = self.forwarded_request();
@@ -66,7 +65,10 @@
             let deadline = self.deadline + RESPONSE_GRACE;
             let sending = connection.sender.try_send_request(request);
             let mut error = match timeout_at(deadline, sending).await {
-                Err(_) => return Err(HostedRefusal::DeadlineAfterSend),
+                Err(_) => {
+                    self.helpers.record_failure(helper);
+                    return Err(HostedRefusal::DeadlineAfterSend);
+                }
                 Ok(Ok(response)) => return self.read_forwarded(response, connection).await,
                 Ok(Err(error)) => error,
             };
@@ -78,7 +80,7 @@
     }
 
     async fn connect_helper(&self, helper: SocketAddr) -> Option<BackendConnection> {
-        let pool = &self.helper_pool;
+        let pool = &self.helpers.pool;
         if let Some(connection) =
             pool.take_idle(helper, ReusePolicy::NoRecentResponse, Instant::now())
         {
@@ -130,7 +132,7 @@
             true => {
                 let body_bytes = Some(bytes.len() as u64);
                 connection.record_response(Instant::now(), None);
-                self.helper_pool.put_idle(connection, Instant::now());
+                self.helpers.pool.put_idle(connection, Instant::now());
                 (body_bytes, Full::new(bytes).map_err(|never| match never {}).boxed_unsync())
             }
             false => {
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -189,7 +189,7 @@
             service: &service,
             board: &self.board,
             crashes: &self.crashes,
-            helper_pool: &self.services.helper_pool,
+            helpers: &self.services.helpers,
             is_forwarded,
             health_path,
             request_id,
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod forward;
 mod handler;
+mod helpers;
 mod listener;
 mod refusal;
 mod requested_times;
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -21,15 +21,13 @@
 use routes::{ServerRecord, ServiceName};
 
 use crate::hosted::contacts::ServerContacts;
+use crate::hosted::helpers::Helpers;
 use crate::hosted::server_access::ServerAccess;
 use crate::pool::ConnectionPool;
 
 /// Idle connections kept per server: one for probes and one for a concurrent request.
 const MAX_IDLE_CONNECTIONS_PER_SERVER: usize = 2;
 
-/// Idle connections kept to each other VM that serves requests for this one.
-const MAX_IDLE_HELPER_CONNECTIONS: usize = 8;
-
 /// State of one service on this entry VM.
 pub(crate) struct HostedService {
     pub(crate) name: ServiceName,
@@ -164,8 +162,8 @@
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
-    /// Connections to other entry VMs.
-    pub(crate) helper_pool: ConnectionPool,
+    /// Other entry VMs that serve requests for this one.
+    pub(crate) helpers: Helpers,
     /// Held while services are added, or the slack or the turns of all are changed.
     update_lock: Mutex<()>,
     metrics: HostedMetrics,
@@ -192,7 +190,7 @@
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
-            helper_pool: ConnectionPool::with_idle_limit(MAX_IDLE_HELPER_CONNECTIONS),
+            helpers: Helpers::default(),
             update_lock: Mutex::new(()),
             metrics,
             log,
@@ -242,7 +240,7 @@
         for service in self.services.load().values() {
             service.pool.close_stale(|_| true, now);
         }
-        self.helper_pool.close_stale(|_| true, now);
+        self.helpers.pool.close_stale(|_| true, now);
     }
 
     /// Sets this entry VM's share of the budgets' slack, which applies from now on until
--- a/tests/hosted_lost_servers.rs
+++ b/tests/hosted_lost_servers.rs
@@ -1,11 +1,13 @@
 //! On a hosting platform: entry VMs that lose all servers while callers, the store and other VMs
 //! still reach them.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use hyper::Method;
 use routes::ServerRecord;
+use rustix::process::Signal;
 use testkit::{
     CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
     HostedServer, call, eventually, free_address, hosted_config, standard_routes,
@@ -33,7 +35,7 @@
     Refuse,
 }
 
-/// Two entry VMs that reach the same servers over separate links. Each of them is a relay and has a
+/// Entry VMs that reach the same servers over separate links. Each of them is a relay and has a
 /// store of its own, which lists the servers at the addresses of its links.
 struct Fleet {
     servers: Vec<HostedServer>,
@@ -48,15 +50,15 @@
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    async fn start(vm_count: usize) -> Self {
         let mut servers = Vec::new();
         for number in 0..4 {
             let behaviour = HostedBehaviour::Run(Duration::from_millis(5));
             servers.push(HostedServer::start(&format!("s-{number}"), "orders", behaviour).await);
         }
-        let relays = [free_address(), free_address()];
+        let relays: Vec<SocketAddr> = (0..vm_count).map(|_| free_address()).collect();
         let mut vms = Vec::new();
-        for relay in relays {
+        for relay in &relays {
             let platform = FakePlatform::start().await;
             let mut routes = standard_routes();
             for route in &mut routes {
@@ -72,7 +74,7 @@
                 links.push(link);
             }
             let (program, store) = (Path::new(DAEMON_PATH), platform.address());
-            let mut daemon = HostedDaemon::start_with_relays(program, store, relay, &relays);
+            let mut daemon = HostedDaemon::start_with_relays(program, store, *relay, &relays);
             daemon.wait_ready().await;
             vms.push(LinkedVm { daemon, links, _platform: platform });
         }
@@ -131,7 +133,7 @@
 }
 
 async fn check_vm_without_servers(loss: Loss) {
-    let mut fleet = Fleet::start().await;
+    let mut fleet = Fleet::start(2).await;
     assert_eq!(fleet.served(0).await, REQUESTS);
     assert_eq!(fleet.served(1).await, REQUESTS);
     fleet.cut(0, loss);
@@ -174,7 +176,7 @@
 /// Servers that are all gone are no partition: no VM can help, and requests are refused as not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn vms_refuse_requests_when_all_servers_are_gone() {
-    let mut fleet = Fleet::start().await;
+    let mut fleet = Fleet::start(2).await;
     assert_eq!(fleet.served(0).await, REQUESTS);
     for vm in 0..2 {
         fleet.cut(vm, Loss::Refuse);
@@ -198,3 +200,17 @@
     })
     .await;
 }
+
+/// A VM that serves requests for another one can freeze or be lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_without_servers_serves_its_callers_while_another_vm_is_frozen() {
+    let mut fleet = Fleet::start(4).await;
+    assert_eq!(fleet.served(0).await, REQUESTS);
+    fleet.cut(0, Loss::Refuse);
+    fleet.vms[1].daemon.signal(Signal::STOP);
+    fleet.vms[2].daemon.kill();
+    fleet.send_during_contact_time(0).await;
+    let served = fleet.served(0).await;
+    fleet.vms[1].daemon.signal(Signal::CONT);
+    assert!(served * 3 >= REQUESTS * 2, "{served} of {REQUESTS} requests are served");
+}
