Count quarantined requests only after a decision

Seen by reading: while a request was suspected, each request counted all quarantined ones for the metric.

--- a/components/proxy/src/hosted/crash_detector.rs
+++ b/components/proxy/src/hosted/crash_detector.rs
@@ -92,7 +92,9 @@
     /// Returns how long a request is still quarantined; `None` if it isn't.
     pub(crate) fn quarantine_left(&self, content: Fingerprint) -> Option<Duration> {
         let now = Instant::now();
-        self.log_decisions(&self.board.decide(now), now);
+        if let Some(decisions) = self.board.decide(now) {
+            self.record_decisions(&decisions, now);
+        }
         let until = self.board.quarantined_until(content, now)?;
         Some(until.saturating_duration_since(now))
     }
@@ -216,7 +218,7 @@
         self.services.contacts().has_other_since(address, since)
     }
 
-    fn log_decisions(&self, decisions: &[Decision], now: Instant) {
+    fn record_decisions(&self, decisions: &[Decision], now: Instant) {
         for decision in decisions {
             match decision {
                 Decision::Quarantined(content, crashes) => {
--- a/components/quarantine/src/board.rs
+++ b/components/quarantine/src/board.rs
@@ -65,13 +65,11 @@
         self.pass_on_own(cleared);
     }
 
-    /// Returns the decisions that have become due since the last call.
-    pub fn decide(&self, now: Instant) -> Vec<Decision> {
+    /// Returns the decisions that have become due since the last call; `None` if nothing was due.
+    pub fn decide(&self, now: Instant) -> Option<Vec<Decision>> {
         let mut ledger = self.ledger();
-        match ledger.next_decision_at() {
-            Some(at) if at <= now => ledger.decide(now),
-            _ => Vec::new(),
-        }
+        let is_due = ledger.next_decision_at().is_some_and(|at| at <= now);
+        is_due.then(|| ledger.decide(now))
     }
 
     /// Whether no report is held, so that no request is suspected.
