Check a server again if connections break while it is checked

Seen by reading: a request whose connection broke while an earlier check of the same server waited for the list was judged by that check, which may have begun before the crash. Change: the server is checked again for it. Measured: 7 tests of the file pass.

--- a/components/proxy/src/hosted/crash_detector.rs
+++ b/components/proxy/src/hosted/crash_detector.rs
@@ -122,11 +122,26 @@
         pending.insert(key, vec![content]);
         drop(pending);
         let detector = Arc::clone(self);
-        tokio::spawn(async move {
-            let has_crashed = detector.has_crashed(&server).await;
-            let contents = detector.pending().remove(&key).unwrap_or_default();
-            detector.record_check(&server, has_crashed, key, &contents);
-        });
+        tokio::spawn(async move { detector.run_checks(&server, key).await });
+    }
+
+    /// Checks a server until it has crashed, or no connection to it broke during the last check.
+    async fn run_checks(&self, server: &BrokenServer, key: IncarnationKey) {
+        loop {
+            let mut contents = std::mem::take(self.pending().entry(key).or_default());
+            let has_crashed = self.has_crashed(server).await;
+            let mut pending = self.pending();
+            let added = pending.get(&key).map_or(0, Vec::len);
+            let is_last = has_crashed || added == 0;
+            if is_last {
+                contents.extend(pending.remove(&key).unwrap_or_default());
+            }
+            drop(pending);
+            self.record_check(server, has_crashed, key, &contents);
+            if is_last {
+                return;
+            }
+        }
     }
 
     fn record_check(
