Start no process of a test while a free address is checked

Cause: free_address binds a port to check it. A process that another thread starts at that moment has a copy of the socket until its program runs. Change: processes are started under a lock that the check holds too.

--- a/components/testkit/src/daemons.rs
+++ b/components/testkit/src/daemons.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::caller::{CallRequest, call};
-use crate::process::TestProcess;
+use crate::process::{TestProcess, lock_process_starts};
 
 /// Longest time for a daemon to become ready or to exit. The bound is generous since CI keeps every
 /// core busy.
@@ -41,6 +41,7 @@
             .wrapping_add(CALL_COUNT.fetch_add(1, Ordering::Relaxed));
         let port = PORT_RANGE.start + offset % (PORT_RANGE.end - PORT_RANGE.start);
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let _guard = lock_process_starts();
         if TcpListener::bind(address).is_ok() {
             return address;
         }
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -13,6 +13,8 @@
 mod process_cuts;
 mod property_tests;
 mod soak;
+#[cfg(test)]
+mod tests;
 mod usage;
 mod web;
 
--- a/components/testkit/src/process.rs
+++ b/components/testkit/src/process.rs
@@ -1,8 +1,10 @@
 //! A process under test: its log, its signals and its exit status.
 
 use std::fs::File;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -10,6 +12,21 @@
 /// Number of log lines that a failed test prints.
 const SHOWN_LOG_LINES: usize = 20;
 
+/// Held while a process is started, until its program runs.
+static START_LOCK: Mutex<()> = Mutex::new(());
+
+/// Starts a process.
+pub(crate) fn start_process(command: &mut Command) -> io::Result<Child> {
+    let _guard = lock_process_starts();
+    command.spawn()
+}
+
+/// Keeps processes from being started until the guard is dropped: they would hold copies of all open
+/// sockets until their programs run.
+pub(crate) fn lock_process_starts() -> MutexGuard<'static, ()> {
+    START_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A process under test, killed on drop. Its log file stays in the temporary directory.
 pub(crate) struct TestProcess {
     child: Child,
@@ -25,14 +42,10 @@
         let log_path = path.with_extension("log");
         let output = File::create(&log_path).expect("the temporary directory is writable");
         let errors = output.try_clone().expect("the log file handle can be cloned");
-        let child = Command::new(program)
-            .args(arguments)
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
-            .spawn()
-            .expect("the daemon program starts");
+        let mut command = Command::new(program);
+        command.args(arguments).arg(&path);
+        command.stdin(Stdio::null()).stdout(output).stderr(errors);
+        let child = start_process(&mut command).expect("the daemon program starts");
         Self { child, log_path }
     }
 
