--- a/components/peers/src/relay.rs
+++ b/components/peers/src/relay.rs
@@ -620,7 +620,6 @@
         socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
     }
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
-    let mut helper_ticks = interval(hub.timing.keep_alive_interval);
     let mut crash_feed = hub.crashes.feed();
     let connection = hub.connect_helpers(HelperSource::Subscriber);
     let mut needs_helpers = false;
@@ -638,10 +637,12 @@
                 }
                 EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
             }
-            _ = helper_ticks.tick(), if needs_helpers => {
-                EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
-            }
             _ = keep_alive_ticks.tick() => {
+                if needs_helpers {
+                    let helpers = EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?;
+                    let bytes = helpers.bytes(held.accepts_compressed);
+                    socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+                }
                 match hub.keep_alive(&updates, &member.membership, Instant::now()) {
                     Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
                     None => continue,
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -436,3 +436,32 @@
     relay.hub.set_own_access(callers(1), false);
     while receive_helpers(&mut connections[0]).await != [callers(3)] {}
 }
+
+/// The interval at which helpers are sent must not catch up on the time when none were needed.
+#[tokio::test(flavor = "multi_thread")]
+async fn subscriber_that_loses_its_servers_late_gets_helpers_once_per_keep_alive() {
+    const KEEP_ALIVES: usize = 12;
+    let relay = TestRelay::start().await;
+    relay.hub.confirm_config(Instant::now());
+    relay.hub.confirm_servers(Instant::now());
+    let held = HeldVersions { exchanges_crash_reports: true, ..HeldVersions::default() };
+    let opened = RelaySubscription::open(relay.address, &held, TIMING.handshake_timeout).await;
+    let mut subscription = opened.expect("the relay accepts the subscription");
+    let mut keep_alives = 0;
+    while keep_alives < KEEP_ALIVES {
+        let message = subscription.next(MESSAGE_TIMEOUT).await.expect("a message arrives");
+        keep_alives += usize::from(matches!(message, RelayMessage::KeepAlive { .. }));
+    }
+    let lost = SubscriberMessage::Helpers { callers: Vec::new(), needs_helpers: true };
+    subscription.send(&lost).await.expect("the relay accepts the message");
+    let (mut helpers, mut keep_alives) = (0, 0);
+    while keep_alives < 3 {
+        match subscription.next(MESSAGE_TIMEOUT).await.expect("a message arrives") {
+            RelayMessage::Helpers(_) => helpers += 1,
+            RelayMessage::KeepAlive { .. } => keep_alives += 1,
+            _ => {}
+        }
+    }
+    // One at once, and one with each keep-alive message.
+    assert!(helpers <= 1 + keep_alives, "{helpers} lists of helpers for {keep_alives} keep-alives");
+}
