--- /dev/null
+++ b/components/peers/src/relay/server.rs
@@ -0,0 +1,137 @@
+//! Serves the subscribers of a relay, and other relays.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, interval, sleep, timeout};
+
+use observe::{Logger, info, warn};
+
+use crate::relay::SEND_STALL_TIMEOUT;
+use crate::relay::helpers::HelperSource;
+use crate::relay::hub::RelayHub;
+use crate::relay::messages::{HeldVersions, RelayMessage};
+use crate::transfer::PeerStream;
+use crate::wire::{CborSocket, EncodedMessage, PeerError, connection_ended};
+
+/// Interval at which relays tell each other of VMs that reach backend servers.
+pub const HELPER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Delay before the next accept after a failed one.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves subscribers until the future is dropped.
+pub async fn serve_relay(listener: TcpListener, hub: Arc<RelayHub>, log: Logger) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, subscriber)) => {
+                let (hub, log) = (Arc::clone(&hub), log.clone());
+                tokio::spawn(async move {
+                    let Err(error) = serve_connection(stream, &hub).await;
+                    info!(log, "relay: subscriber disconnected"; "subscriber" => %subscriber,
+                        "reason" => %error);
+                });
+            }
+            Err(error) => {
+                warn!(log, "relay: accept failed"; "reason" => %error);
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, hub: &RelayHub) -> Result<Infallible, PeerError> {
+    stream.set_nodelay(true).map_err(|error| connection_ended(&error))?;
+    serve_subscriber(stream, hub).await
+}
+
+/// Serves one subscriber until the connection ends.
+pub async fn serve_subscriber(
+    stream: impl PeerStream + 'static,
+    hub: &RelayHub,
+) -> Result<Infallible, PeerError> {
+    let (mut socket, held) = timeout(hub.timing.handshake_timeout, accept_subscriber(stream))
+        .await
+        .map_err(|_| PeerError::TimedOut)??;
+    if held.is_relay {
+        return exchange_crash_reports(socket, hub).await;
+    }
+    let member = hub.join();
+    let (missing, mut updates) = hub.subscribe(&held)?;
+    let mut state = Vec::new();
+    // A subscriber that has just started must not use old state before it knows its age.
+    state.extend(hub.stale_keep_alive(&updates, &member.membership, Instant::now())?);
+    state.extend(missing);
+    for message in state {
+        let bytes = message.bytes(held.accepts_compressed);
+        socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+    }
+    let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut crash_feed = hub.crashes.feed();
+    let connection = hub.helpers.connect(HelperSource::Subscriber);
+    let mut needs_helpers = false;
+    loop {
+        let message = tokio::select! {
+            biased;
+            message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
+            reports = crash_feed.next(), if held.exchanges_crash_reports => {
+                EncodedMessage::new(&RelayMessage::CrashReports(reports))?
+            }
+            received = socket.receive(), if held.exchanges_crash_reports => {
+                needs_helpers = hub.apply(&connection, received?).unwrap_or(needs_helpers);
+                if !needs_helpers {
+                    continue;
+                }
+                EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
+            }
+            _ = keep_alive_ticks.tick() => {
+                if needs_helpers {
+                    let helpers = EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?;
+                    let bytes = helpers.bytes(held.accepts_compressed);
+                    socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+                }
+                match hub.keep_alive(&updates, &member.membership, Instant::now()) {
+                    Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
+                    None => continue,
+                }
+            }
+        };
+        let bytes = message.bytes(held.accepts_compressed);
+        socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+    }
+}
+
+/// Exchanges crash reports with another relay until the connection ends.
+async fn exchange_crash_reports(
+    mut socket: CborSocket,
+    hub: &RelayHub,
+) -> Result<Infallible, PeerError> {
+    let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
+    let mut helper_ticks = interval(HELPER_INTERVAL);
+    let mut crash_feed = hub.crashes.feed();
+    let connection = hub.helpers.connect(HelperSource::Relay);
+    loop {
+        let message = tokio::select! {
+            biased;
+            reports = crash_feed.next() => RelayMessage::CrashReports(reports),
+            received = socket.receive() => {
+                hub.apply(&connection, received?);
+                continue;
+            }
+            _ = helper_ticks.tick() => RelayMessage::Helpers(hub.own_helpers()),
+            _ = keep_alive_ticks.tick() => RelayMessage::CrashReports(Vec::new()),
+        };
+        let message = EncodedMessage::new(&message)?;
+        socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await?;
+    }
+}
+
+async fn accept_subscriber(
+    stream: impl PeerStream + 'static,
+) -> Result<(CborSocket, HeldVersions), PeerError> {
+    let mut socket = CborSocket::accept(Box::new(stream)).await?;
+    let (held, _) = socket.receive().await?;
+    Ok((socket, held))
+}
