--- a/components/peers/src/relay/server.rs
+++ b/components/peers/src/relay/server.rs
@@ -65,8 +65,7 @@
     state.extend(hub.stale_keep_alive(&updates, &member.membership, Instant::now())?);
     state.extend(missing);
     for message in state {
-        let bytes = message.bytes(held.accepts_compressed);
-        socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+        send(&mut socket, &message, held.accepts_compressed).await?;
     }
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
     let mut crash_feed = hub.crashes.feed();
@@ -89,8 +88,7 @@
             _ = keep_alive_ticks.tick() => {
                 if needs_helpers {
                     let helpers = EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?;
-                    let bytes = helpers.bytes(held.accepts_compressed);
-                    socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+                    send(&mut socket, &helpers, held.accepts_compressed).await?;
                 }
                 match hub.keep_alive(&updates, &member.membership, Instant::now()) {
                     Some(keep_alive) => EncodedMessage::new(&keep_alive)?,
@@ -98,8 +96,7 @@
                 }
             }
         };
-        let bytes = message.bytes(held.accepts_compressed);
-        socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await?;
+        send(&mut socket, &message, held.accepts_compressed).await?;
     }
 }
 
@@ -124,10 +121,19 @@
             _ = keep_alive_ticks.tick() => RelayMessage::CrashReports(Vec::new()),
         };
         let message = EncodedMessage::new(&message)?;
-        socket.send_encoded_unless_stalled(message.bytes(true), SEND_STALL_TIMEOUT).await?;
+        send(&mut socket, &message, true).await?;
     }
 }
 
+async fn send(
+    socket: &mut CborSocket,
+    message: &EncodedMessage,
+    accepts_compressed: bool,
+) -> Result<(), PeerError> {
+    let bytes = message.bytes(accepts_compressed);
+    socket.send_encoded_unless_stalled(bytes, SEND_STALL_TIMEOUT).await
+}
+
 async fn accept_subscriber(
     stream: impl PeerStream + 'static,
 ) -> Result<(CborSocket, HeldVersions), PeerError> {
