--- a/components/daemon/src/hosted/crash_store.rs
+++ b/components/daemon/src/hosted/crash_store.rs
@@ -13,6 +13,7 @@
 use observe::{info, warn};
 use platform::{TableName, TableRow, encode_crash_row, parse_crash_row};
 use quarantine::{CrashReport, Fingerprint};
+use store::StoreError;
 
 use crate::hosted::platform_view::PlatformView;
 use crate::hosted::platform_watcher::StoreCallConfig;
@@ -26,7 +27,6 @@
 const MAX_TRANSACTION_ROWS: usize = 100;
 
 /// Writes crash reports to the store, and reads them.
-#[derive(Clone)]
 pub(crate) struct CrashStore {
     view: Arc<PlatformView>,
     call_config: StoreCallConfig,
@@ -38,7 +38,7 @@
     }
 
     /// Stores the reports about requests that this VM reported, until the future is dropped.
-    pub(crate) async fn run_writer(self) {
+    pub(crate) async fn run_writer(&self) {
         let mut own_reports = self.view.crashes.own_reports();
         let mut unwritten: FastSet<Fingerprint> = FastSet::default();
         loop {
@@ -75,10 +75,7 @@
         let rows: Vec<TableRow> =
             reports.iter().map(|report| encode_crash_row(report, now)).collect();
         for rows in rows.chunks(MAX_TRANSACTION_ROWS) {
-            self.view.metrics.store_calls.inc();
-            let written = self.call_config.store.write_rows(TableName::Crashes, rows, &[]).await;
-            if let Err(error) = written {
-                self.view.metrics.store_failures.inc();
+            if let Err(error) = self.call_store(rows, &[]).await {
                 warn!(self.view.log, "crashes: can't store reports; retrying with the next one";
                     "reason" => %error, "reports" => reports.len());
                 return false;
@@ -141,14 +138,26 @@
 
     async fn delete(&self, keys: &[Box<str>]) {
         for keys in keys.chunks(MAX_TRANSACTION_ROWS) {
-            self.view.metrics.store_calls.inc();
-            let deleted = self.call_config.store.write_rows(TableName::Crashes, &[], keys).await;
-            if let Err(error) = deleted {
-                self.view.metrics.store_failures.inc();
+            if let Err(error) = self.call_store(&[], keys).await {
                 info!(self.view.log, "crashes: can't delete expired reports; left to the next start";
                     "reason" => %error);
                 return;
             }
         }
     }
+
+    async fn call_store(
+        &self,
+        rows: &[TableRow],
+        deleted_keys: &[Box<str>],
+    ) -> Result<(), StoreError> {
+        let metrics = &self.view.metrics;
+        metrics.store_calls.inc();
+        let result =
+            self.call_config.store.write_rows(TableName::Crashes, rows, deleted_keys).await;
+        if result.is_err() {
+            metrics.store_failures.inc();
+        }
+        result
+    }
 }
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -49,6 +49,7 @@
 pub(crate) struct PlatformWatcher {
     view: Arc<PlatformView>,
     call_config: StoreCallConfig,
+    crash_store: CrashStore,
     /// `None` for a VM that is a relay itself.
     subscriber: Option<RelaySubscriber>,
     ages: ReadAges,
@@ -61,13 +62,13 @@
         subscriber: Option<RelaySubscriber>,
         ages: ReadAges,
     ) -> Self {
-        Self { view, call_config, subscriber, ages }
+        let crash_store = CrashStore::new(Arc::clone(&view), call_config.clone());
+        Self { view, call_config, crash_store, subscriber, ages }
     }
 
     /// Updates the view until the future is dropped.
     pub(crate) async fn run(self) {
-        let crash_store = CrashStore::new(Arc::clone(&self.view), self.call_config.clone());
-        tokio::join!(crash_store.run_writer(), self.run_watch());
+        tokio::join!(self.crash_store.run_writer(), self.run_watch());
     }
 
     async fn run_watch(&self) {
@@ -114,10 +115,9 @@
     }
 
     async fn read_crashes(&self) {
-        let crash_store = CrashStore::new(Arc::clone(&self.view), self.call_config.clone());
         match &self.subscriber {
-            None => crash_store.load().await,
-            Some(_) => crash_store.exchange().await,
+            None => self.crash_store.load().await,
+            Some(_) => self.crash_store.exchange().await,
         }
     }
 
