--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -121,23 +121,20 @@
         lost_servers.mark_changed();
         loop {
             let received = tokio::select! {
-                received = subscription.next(self.timing.relay_silence_timeout) => received,
+                received = subscription.next(self.timing.relay_silence_timeout) => {
+                    received.map(Some)
+                }
                 _ = lost_servers.changed(), if exchanges_crash_reports => {
                     let needs_helpers = *lost_servers.borrow_and_update();
-                    match subscription.send(&self.access_message(needs_helpers)).await {
-                        Ok(()) => continue,
-                        Err(error) => Err(error),
-                    }
+                    subscription.send(&self.access_message(needs_helpers)).await.map(|()| None)
                 }
                 reports = crash_feed.next(), if exchanges_crash_reports => {
-                    match subscription.send_crash_reports(reports).await {
-                        Ok(()) => continue,
-                        Err(error) => Err(error),
-                    }
+                    subscription.send_crash_reports(reports).await.map(|()| None)
                 }
             };
             let message = match received {
-                Ok(message) => message,
+                Ok(Some(message)) => message,
+                Ok(None) => continue,
                 Err(error) => return SubscriptionEnd::Failed(error),
             };
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -1,6 +1,5 @@
 //! Starts the components of a hosted entry VM and shuts them down in order.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -104,15 +103,14 @@
         log.clone(),
     ));
     if let Some(hub) = &view.hub {
-        let access = update_own_access(
-            Arc::clone(hub),
-            Arc::clone(&board),
-            settings.callers,
-            timing.keep_alive_interval,
-        );
-        background.spawn(access);
-        let (hub, services) = (Arc::clone(hub), Arc::clone(&services));
-        background.spawn(update_slack_share(hub, services, settings.clone(), timing));
+        let own_membership = OwnMembership {
+            hub: Arc::clone(hub),
+            board: Arc::clone(&board),
+            services: Arc::clone(&services),
+            settings: settings.clone(),
+            timing,
+        };
+        background.spawn(own_membership.run());
     }
     background.spawn(new_platform_watcher(&settings, &timing, &view).run());
     background.spawn(async move { view.run_server_expiry().await });
@@ -219,46 +217,50 @@
     PlatformWatcher::new(Arc::clone(view), call_config, subscriber, ages)
 }
 
-/// Tells the hub whether this relay reaches backend servers, and takes other VMs from it if not.
-async fn update_own_access(
+/// What a relay has from its own hub, like each of its subscribers.
+struct OwnMembership {
     hub: Arc<RelayHub>,
     board: Arc<HostedBoard>,
-    callers: SocketAddr,
-    update_interval: Duration,
-) {
-    let mut lost_servers = board.watch_lost_servers();
-    let mut ticks = interval(update_interval);
-    loop {
-        let has_lost = *lost_servers.borrow_and_update();
-        hub.set_own_access(callers, !has_lost);
-        if has_lost {
-            board.set_helpers(hub.helpers());
+    services: Arc<HostedServices>,
+    settings: HostedSettings,
+    timing: HostedTiming,
+}
+
+impl OwnMembership {
+    /// Updates the relay's share and turns, and exchanges with the hub which VMs reach backend
+    /// servers, until the future is dropped.
+    async fn run(self) {
+        let mut lost_servers = self.board.watch_lost_servers();
+        let mut ticks = interval(self.timing.keep_alive_interval);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                _ = lost_servers.changed() => {}
+            }
+            let has_lost_servers = *lost_servers.borrow_and_update();
+            self.update_access(has_lost_servers);
+            self.update_share(Instant::now());
         }
-        tokio::select! {
-            _ = ticks.tick() => {}
-            _ = lost_servers.changed() => {}
+    }
+
+    /// Tells the hub whether the relay reaches backend servers, and takes other VMs from it if not.
+    fn update_access(&self, has_lost_servers: bool) {
+        self.hub.set_own_access(self.settings.callers, !has_lost_servers);
+        if has_lost_servers {
+            self.board.set_helpers(self.hub.helpers());
         }
     }
-}
 
-/// Updates this relay's own share of the retry budget's slack, which is divided among its
-/// subscribers and itself.
-async fn update_slack_share(
-    hub: Arc<RelayHub>,
-    services: Arc<HostedServices>,
-    settings: HostedSettings,
-    timing: HostedTiming,
-) {
-    let mut ticks = interval(timing.keep_alive_interval);
-    let validity = timing.relay_silence_timeout;
-    loop {
-        ticks.tick().await;
-        let now = Instant::now();
-        let divisor = hub.own_share_divisor(now);
-        let share = slack_share(settings.retries.slack, settings.relays.len(), divisor);
-        services.set_slack(share, now + validity);
-        if let Some(turns) = hub.own_turns(now) {
-            services.assign_turns(&assigned_turns(&turns, now, validity));
+    /// Updates the relay's share of the retry budget's slack, which is divided among its subscribers
+    /// and itself, and its turns.
+    fn update_share(&self, now: Instant) {
+        let retries = &self.settings.retries;
+        let validity = self.timing.relay_silence_timeout;
+        let divisor = self.hub.own_share_divisor(now);
+        let share = slack_share(retries.slack, self.settings.relays.len(), divisor);
+        self.services.set_slack(share, now + validity);
+        if let Some(turns) = self.hub.own_turns(now) {
+            self.services.assign_turns(&assigned_turns(&turns, now, validity));
         }
     }
 }
