--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -20,7 +20,7 @@
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
 use crate::headers::remove_hop_by_hop;
-use crate::hosted::selection::{discard_body, keep_alive_timeout};
+use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
 use crate::hosted::service::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
 use crate::prefixed_body::PrefixedBody;
@@ -243,10 +243,7 @@
     context: &AttemptContext,
     exchange: Exchange,
 ) -> AttemptOutcome {
-    lease.service.contacts.record(exchange.connection.address(), Instant::now());
-    if !exchange.connection.has_responded() {
-        lease.service.access.record_success();
-    }
+    lease.service.record_contact(&exchange.connection);
     let status = exchange.response.status().as_u16();
     let headers = exchange.response.headers();
     let report = (context.wire.read_load)(headers);
@@ -290,8 +287,7 @@
 /// Whether the address belongs to another server now, which sent the response.
 fn is_of_other_server(context: &AttemptContext, exchange: &Exchange) -> bool {
     let response = &exchange.response;
-    let responding_server = response.headers().get(&context.wire.headers.responding_server);
-    responding_server.is_some_and(|value| value.as_bytes() != exchange.server.as_str().as_bytes())
+    is_from_server(&context.wire, response.headers(), &exchange.server) == Some(false)
         || response.status() == hyper::StatusCode::MISDIRECTED_REQUEST
 }
 
--- a/components/proxy/src/hosted/crash_detector.rs
+++ b/components/proxy/src/hosted/crash_detector.rs
@@ -18,7 +18,7 @@
 use quarantine::{CrashBoard, Decision, Fingerprint, IncarnationKey};
 use routes::WireInterface;
 
-use crate::hosted::selection::probe_request;
+use crate::hosted::selection::{is_from_server, probe_request};
 use crate::hosted::service::{HostedService, HostedServices};
 
 /// Pauses before the first and each further check of a server. A server at its limit of connections
@@ -209,12 +209,9 @@
             Ok(Err(_)) => return CheckResult::Refused,
             Err(_) => return CheckResult::Unknown,
         };
-        let responding_server = response.headers().get(&self.wire.headers.responding_server);
-        match responding_server {
-            Some(id) if id.as_bytes() == server.incarnation.id.as_str().as_bytes() => {
-                CheckResult::Alive
-            }
-            Some(_) => CheckResult::Replaced,
+        match is_from_server(&self.wire, response.headers(), &server.incarnation.id) {
+            Some(true) => CheckResult::Alive,
+            Some(false) => CheckResult::Replaced,
             None => CheckResult::Unknown,
         }
     }
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -15,6 +15,7 @@
     LimitResponse, MAX_PROBE_ROUNDS, PROBES_PER_ROUND, PlacementEstimate, RequestShape,
     SampleOutcome, ServerTicket,
 };
+use model::ServerId;
 use observe::{HostedMetrics, IntCounter};
 use routes::WireInterface;
 
@@ -198,20 +199,14 @@
     let sent_at = Instant::now();
     let response = connection.sender.send_request(probe_request(address, path)?).await.ok()?;
     service.group().record_probe_time(ticket, sent_at.elapsed());
-    service.contacts.record(address, Instant::now());
-    if !connection.has_responded() {
-        service.access.record_success();
-    }
+    service.record_contact(&connection);
     let headers = response.headers();
     if headers.contains_key(&wire.headers.request_id) {
         // A late copy of the response to a request. The probe's own follows, so the connection is
         // closed.
         return Some(());
     }
-    let responding_server = headers.get(&wire.headers.responding_server);
-    let is_other_server =
-        responding_server.is_some_and(|value| value.as_bytes() != id.as_str().as_bytes());
-    if is_other_server {
+    if is_from_server(wire, headers, &id) == Some(false) {
         // The address belongs to another server now.
         service.group().mark_leaving(ticket);
         return Some(());
@@ -232,6 +227,16 @@
     Some(())
 }
 
+/// Whether a response comes from a server, by the server's identity in it; `None` if it names none.
+pub(crate) fn is_from_server(
+    wire: &WireInterface,
+    headers: &HeaderMap,
+    server: &ServerId,
+) -> Option<bool> {
+    let responding_server = headers.get(&wire.headers.responding_server)?;
+    Some(responding_server.as_bytes() == server.as_str().as_bytes())
+}
+
 /// Reads a body that is not needed, so that its connection can be used again. Returns `None` if it
 /// is too long or does not end soon.
 pub(crate) async fn discard_body(body: Incoming) -> Option<()> {
@@ -250,7 +255,7 @@
 }
 
 /// Returns how long a server keeps an idle connection open, by its `Keep-Alive` header.
-pub(crate) fn keep_alive_timeout(headers: &hyper::HeaderMap) -> Option<Duration> {
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let seconds =
         text.split(',').find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -23,7 +23,7 @@
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
 use crate::hosted::server_access::ServerAccess;
-use crate::pool::ConnectionPool;
+use crate::pool::{BackendConnection, ConnectionPool};
 
 /// Idle connections kept per server: one for probes and one for a concurrent request.
 const MAX_IDLE_CONNECTIONS_PER_SERVER: usize = 2;
@@ -103,6 +103,15 @@
             "started_at_ms" => server.map(|server| server.started_at_ms));
     }
 
+    /// Records that a response arrived on a connection to a server. Responses to requests and probes
+    /// on old connections don't show that new ones can be opened.
+    pub(crate) fn record_contact(&self, connection: &BackendConnection) {
+        self.contacts.record(connection.address(), Instant::now());
+        if !connection.has_responded() {
+            self.access.record_success();
+        }
+    }
+
     /// Locks and returns the service's servers.
     pub(crate) fn group(&self) -> MutexGuard<'_, PlacementGroup> {
         self.group.lock().expect("group lock is never poisoned")
