Look a server's incarnation up once for each attempt, without copies in searches

An attempt locked the group twice for the same identity, and each look at the list for a replaced or leaving server copied the identity of every server. The two comparisons of incarnations are one. No behaviour changes.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -538,15 +538,14 @@
 
     /// Whether an incarnation is leaving, by the list or by its own word.
     pub fn is_incarnation_leaving(&self, incarnation: &ServerIncarnation) -> bool {
-        let states = self.servers.iter().map(|(_, state)| state);
-        let mut same = states.filter(|state| state.listed.incarnation() == *incarnation);
-        same.any(ServerState::is_leaving)
+        let mut states = self.servers.iter().map(|(_, state)| state);
+        states.any(|state| state.listed.key() == incarnation.key() && state.is_leaving())
     }
 
     /// Whether the list has another incarnation with the identity or the address of a server.
     pub fn is_replaced(&self, incarnation: &ServerIncarnation) -> bool {
-        self.servers.iter().map(|(_, state)| state.listed.incarnation()).any(|listed| {
-            listed != *incarnation
+        self.servers.iter().map(|(_, state)| &state.listed).any(|listed| {
+            listed.key() != incarnation.key()
                 && (listed.id == incarnation.id || listed.address == incarnation.address)
         })
     }
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -56,6 +56,15 @@
     pub address: SocketAddr,
 }
 
+impl ServerIncarnation {
+    pub(crate) fn key(&self) -> IncarnationKey<'_> {
+        (&self.id, self.started_at_ms, self.address)
+    }
+}
+
+/// What together identifies an incarnation.
+type IncarnationKey<'a> = (&'a ServerId, u64, SocketAddr);
+
 impl PlacementServer {
     /// Returns the incarnation that the entry describes.
     pub fn incarnation(&self) -> ServerIncarnation {
@@ -66,11 +75,8 @@
         }
     }
 
-    /// Whether both entries describe the same incarnation of a server.
-    fn is_same_incarnation(&self, other: &Self) -> bool {
-        self.id == other.id
-            && self.started_at_ms == other.started_at_ms
-            && self.address == other.address
+    pub(crate) fn key(&self) -> IncarnationKey<'_> {
+        (&self.id, self.started_at_ms, self.address)
     }
 }
 
@@ -164,7 +170,7 @@
 
     /// Applies a newer list entry if it is of the same incarnation; returns whether it is.
     pub(crate) fn update_listing(&mut self, listed: &PlacementServer) -> bool {
-        if !self.listed.is_same_incarnation(listed) {
+        if self.listed.key() != listed.key() {
             return false;
         }
         self.listed = listed.clone();
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -454,7 +454,8 @@
         sent_flags.push(Arc::clone(&is_sent));
         server.lease.record_sent();
         self.progress.attempted_servers.push(server.lease.ticket());
-        self.progress.last_server = server.lease.server_id();
+        let incarnation = server.lease.incarnation();
+        self.progress.last_server = incarnation.as_ref().map(|incarnation| incarnation.id.clone());
         self.progress.attempts += 1;
         let context = AttemptContext {
             wire: Arc::clone(self.wire),
@@ -463,7 +464,6 @@
             deadline: self.deadline,
             is_sent,
         };
-        let incarnation = server.lease.incarnation();
         async move {
             let outcome = run_attempt(server.lease, context, request).await;
             FinishedAttempt { server: incarnation, outcome }
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -365,11 +365,6 @@
         self.request.ticket()
     }
 
-    /// Returns the server's ID, or `None` if the server is no longer listed.
-    pub(crate) fn server_id(&self) -> Option<ServerId> {
-        self.service.group().id_and_address(self.ticket()).map(|(id, _)| id.clone())
-    }
-
     /// Returns the server's incarnation, or `None` if the server is no longer listed.
     pub(crate) fn incarnation(&self) -> Option<ServerIncarnation> {
         self.service.group().incarnation(self.ticket())
