Forwarding uses the request, deadline and response code of attempts

forward.rs built requests, deadlines, buffered and streamed responses and retry delays by its own copies; the retry delay of another VM is read like that of a server. A connection is returned to its pool by one function. A request that is quarantined while it waits is no longer refused, and counted in the metric, a second time on its way to another VM.

--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -20,7 +20,9 @@
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
 use crate::headers::remove_hop_by_hop;
-use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
+use crate::hosted::selection::{
+    discard_body, is_from_server, keep_alive_timeout, return_connection,
+};
 use crate::hosted::service::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
 use crate::prefixed_body::PrefixedBody;
@@ -187,14 +189,19 @@
 }
 
 fn set_attempt_headers(context: &AttemptContext, server: &ServerId, headers: &mut HeaderMap) {
-    let remaining = context.deadline.saturating_duration_since(Instant::now());
+    set_deadline(&context.wire, context.deadline, headers);
     let names = &context.wire.headers;
-    headers.insert(&names.deadline_ms, HeaderValue::from(remaining.as_millis() as u64));
     if let Ok(value) = HeaderValue::from_str(server.as_str()) {
         headers.insert(&names.expected_server, value);
     }
 }
 
+/// Sets the time that remains until the deadline.
+pub(crate) fn set_deadline(wire: &WireInterface, deadline: Instant, headers: &mut HeaderMap) {
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    headers.insert(&wire.headers.deadline_ms, HeaderValue::from(remaining.as_millis() as u64));
+}
+
 /// Sends the request on `connection`, or on a new one if `connection` turns out to be closed before
 /// a byte was written.
 async fn send_request(
@@ -301,7 +308,7 @@
     let keep_alive = keep_alive_timeout(exchange.response.headers());
     // The connection of a refusal whose body doesn't end soon is closed: the retry must not wait.
     if discard_body(exchange.response.into_body()).await.is_some() {
-        return_connection(&lease, exchange.connection, keep_alive);
+        return_connection(&lease.service, exchange.connection, keep_alive);
     }
     lease.finish(SampleOutcome::Shed, report);
     AttemptOutcome::NotRun(NotRunReason::Shed)
@@ -324,7 +331,7 @@
     let keep_alive = keep_alive_timeout(&parts.headers);
     let report_age = lease.report_age;
     let limit = (context.wire.read_limit)(&parts.headers);
-    let deadline = context.deadline;
+    let deadline = context.deadline + RESPONSE_GRACE;
     // An error without a signature need not be the server's own.
     if limit.is_some() || parts.headers.contains_key(&context.wire.headers.signature) {
         lease.record_limit(limit);
@@ -344,12 +351,14 @@
         lease.finish(outcome, report);
         buffered_response(parts, bytes)
     } else {
-        streamed_response(
-            parts,
-            bytes,
-            incoming,
-            StreamCompletion { lease, connection, outcome, report, deadline },
-        )
+        let on_end = move |body_end| {
+            let outcome = match body_end {
+                ResponseEnd::Complete => outcome,
+                ResponseEnd::Failed => SampleOutcome::Failed,
+            };
+            lease.finish(outcome, report);
+        };
+        streamed_response(parts, bytes, incoming, connection, deadline, on_end)
     };
     AttemptOutcome::Responded(ServerResponse { http, server, report_age, limit, body_bytes })
 }
@@ -372,49 +381,27 @@
     Ok((buffered.freeze(), false))
 }
 
-fn buffered_response(parts: Parts, bytes: Bytes) -> Response<CallerResponseBody> {
+pub(crate) fn buffered_response(parts: Parts, bytes: Bytes) -> Response<CallerResponseBody> {
     let body = Full::new(bytes).map_err(|never| match never {}).boxed_unsync();
     Response::from_parts(parts, body)
 }
 
-/// Resources of a streamed response, and its result if the body is complete.
-struct StreamCompletion {
-    lease: ServerLease,
-    connection: BackendConnection,
-    outcome: SampleOutcome,
-    report: Option<ServerLoad>,
-    /// Deadline of the request, by which the body must be complete.
-    deadline: Instant,
-}
-
-fn streamed_response(
+/// Streams the rest of a response that must be complete by `deadline`. The connection is not reused;
+/// it closes with the exchange.
+pub(crate) fn streamed_response(
     parts: Parts,
     prefix: Bytes,
     rest: Incoming,
-    completion: StreamCompletion,
+    connection: BackendConnection,
+    deadline: Instant,
+    on_end: impl FnOnce(ResponseEnd) + Send + 'static,
 ) -> Response<CallerResponseBody> {
-    let deadline = completion.deadline + RESPONSE_GRACE;
     // A caller that reads slowly doesn't extend the time of the server's connection.
-    let close_guard = completion.connection.close_at(deadline);
+    let close_guard = connection.close_at(deadline);
     let on_end = move |body_end| {
-        // The connection of a streamed response is not reused; it closes with the exchange.
-        drop((close_guard, completion.connection));
-        match body_end {
-            ResponseEnd::Complete => completion.lease.finish(completion.outcome, completion.report),
-            ResponseEnd::Failed => {
-                completion.lease.finish(SampleOutcome::Failed, completion.report);
-            }
-        }
+        drop((close_guard, connection));
+        on_end(body_end);
     };
     let rest = ResponseBody::new(rest, deadline, on_end, ());
     Response::from_parts(parts, PrefixedBody::new(prefix, rest).boxed_unsync())
 }
-
-fn return_connection(
-    lease: &ServerLease,
-    mut connection: BackendConnection,
-    keep_alive: Option<Duration>,
-) {
-    connection.apply_keep_alive(keep_alive);
-    lease.service.pool.put_idle(connection, Instant::now());
-}
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -26,6 +26,7 @@
 use quarantine::Fingerprint;
 use routes::{ExecutionSemantics, HostedRoute, ServiceName, WireInterface};
 
+use crate::body::BackendRequestBody;
 use crate::dispatch::RequestHead;
 use crate::hosted::attempt::{
     AttemptContext, AttemptOutcome, NotRunReason, RESPONSE_GRACE, ServerResponse, UnknownReason,
@@ -105,6 +106,7 @@
 impl HostedDispatch<'_> {
     /// Sends the request until there is a response to forward or no further attempt is possible.
     pub(crate) async fn run(&mut self) -> Result<ServerResponse, HostedRefusal> {
+        self.check_quarantine()?;
         if self.should_forward() {
             check_access(&self.selection_context(), self.shape);
             return self.forward().await;
@@ -113,7 +115,12 @@
         let result =
             timeout_at(self.deadline + RESPONSE_GRACE, self.run_attempts(&mut sent_flags)).await;
         match result {
-            Ok(Err(refusal)) if refusal.is_not_run() && self.should_forward() => {
+            // The other VM would refuse a quarantined request too.
+            Ok(Err(refusal))
+                if refusal.is_not_run()
+                    && !matches!(refusal, HostedRefusal::Quarantined(_))
+                    && self.should_forward() =>
+            {
                 self.forward().await
             }
             Ok(result) => result.map_err(|refusal| self.account_for_earlier_attempts(refusal)),
@@ -138,7 +145,6 @@
         sent_flags: &mut SentFlags,
     ) -> Result<ServerResponse, HostedRefusal> {
         let mut attempts = FuturesUnordered::new();
-        self.check_quarantine()?;
         let server = self.acquire_server().await?;
         // Servers may have crashed while the request was queued.
         self.check_quarantine()?;
@@ -446,10 +452,7 @@
             ExecutionSemantics::Idempotent => reuse_policy,
             ExecutionSemantics::Once => ReusePolicy::NoRecentResponse,
         };
-        let mut request = Request::new(self.body.body_for_attempt());
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = self.head.target.clone();
-        *request.headers_mut() = self.head.headers.clone();
+        let request = self.request_for_attempt();
         let is_sent = Arc::new(AtomicBool::new(false));
         sent_flags.push(Arc::clone(&is_sent));
         server.lease.record_sent();
@@ -470,6 +473,15 @@
         }
     }
 
+    /// Returns the request for one attempt, as the caller sent it.
+    pub(crate) fn request_for_attempt(&mut self) -> Request<BackendRequestBody> {
+        let mut request = Request::new(self.body.body_for_attempt());
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.target.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        request
+    }
+
     fn refusal_without_response(&self) -> HostedRefusal {
         if self.progress.may_have_run {
             return HostedRefusal::NoUsableResponse;
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -7,21 +7,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use model::ServerId;
+use routes::WireInterface;
 
-use crate::body::{BackendRequestBody, CallerResponseBody};
+use crate::body::BackendRequestBody;
 use crate::headers::remove_hop_by_hop;
-use crate::hosted::attempt::{PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body};
+use crate::hosted::attempt::{
+    PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body, buffered_response, set_deadline,
+    streamed_response,
+};
 use crate::hosted::dispatch::HostedDispatch;
-use crate::hosted::refusal::HostedRefusal;
+use crate::hosted::refusal::{DEFAULT_RETRY_DELAY, HostedRefusal};
 use crate::pool::{BackendConnection, ReusePolicy};
-use crate::prefixed_body::PrefixedBody;
-use crate::response_body::ResponseBody;
 
 /// Marks a request that another entry VM has forwarded.
 pub(crate) const FORWARDED_HEADER: HeaderName = HeaderName::from_static("mustardrail-forwarded");
@@ -35,9 +36,6 @@
 /// Largest number of connections to one other VM.
 const MAX_CONNECTIONS: usize = 256;
 
-/// Retry delay for callers if the refusal of the other VM names none.
-const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
-
 impl HostedDispatch<'_> {
     /// Whether other VMs should serve the request: this one reaches no server, and has not sent it
     /// to any.
@@ -52,7 +50,6 @@
 
     /// Forwards the request to another VM and returns what that responds.
     pub(crate) async fn forward(&mut self) -> Result<ServerResponse, HostedRefusal> {
-        self.check_quarantine()?;
         self.metrics.forwarded_requests.inc();
         for helper in self.helpers.choose(&self.board.helpers(), MAX_HELPERS) {
             let _lease = self.helpers.lease(helper);
@@ -90,17 +87,9 @@
     }
 
     fn forwarded_request(&mut self) -> Request<BackendRequestBody> {
-        let mut request = Request::new(self.body.body_for_attempt());
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = self.head.target.clone();
-        let mut headers = self.head.headers.clone();
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        headers.insert(
-            &self.wire.headers.deadline_ms,
-            HeaderValue::from(remaining.as_millis() as u64),
-        );
-        headers.insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
-        *request.headers_mut() = headers;
+        let mut request = self.request_for_attempt();
+        set_deadline(self.wire, self.deadline, request.headers_mut());
+        request.headers_mut().insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
         request
     }
 
@@ -113,7 +102,7 @@
         let names = &self.wire.headers;
         let headers = &parts.headers;
         if !headers.contains_key(&names.signature) {
-            return Err(refusal_of_helper(parts.status.as_u16(), headers));
+            return Err(refusal_of_helper(self.wire, parts.status.as_u16(), headers));
         }
         if headers.get(&names.request_id) != Some(&self.request_id) {
             return Err(HostedRefusal::NoUsableResponse);
@@ -128,35 +117,27 @@
         let Ok(Ok((bytes, is_complete))) = buffered else {
             return Err(HostedRefusal::NoUsableResponse);
         };
-        let (body_bytes, body): (_, CallerResponseBody) = match is_complete {
+        let body_bytes = is_complete.then_some(bytes.len() as u64);
+        let http = match is_complete {
             true => {
-                let body_bytes = Some(bytes.len() as u64);
                 connection.record_response(Instant::now(), None);
                 self.helpers.pool.put_idle(connection, Instant::now());
-                (body_bytes, Full::new(bytes).map_err(|never| match never {}).boxed_unsync())
-            }
-            false => {
-                let close_guard = connection.close_at(deadline);
-                let on_end = move |_| drop((close_guard, connection));
-                let rest = ResponseBody::new(incoming, deadline, on_end, ());
-                (None, PrefixedBody::new(bytes, rest).boxed_unsync())
+                buffered_response(parts, bytes)
             }
+            false => streamed_response(parts, bytes, incoming, connection, deadline, |_| {}),
         };
-        let http = Response::from_parts(parts, body);
         Ok(ServerResponse { http, server, report_age: None, limit: None, body_bytes })
     }
 }
 
 /// Returns the refusal with the same promise as another VM's own response.
-fn refusal_of_helper(status: u16, headers: &HeaderMap) -> HostedRefusal {
-    let retry_delay = headers.get(RETRY_AFTER).and_then(|text| text.to_str().ok());
-    let retry_delay = retry_delay.and_then(|text| text.parse().ok());
-    let retry_delay = retry_delay.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+fn refusal_of_helper(wire: &WireInterface, status: u16, headers: &HeaderMap) -> HostedRefusal {
     match status {
         // Its own responses with these statuses are sent before the request is.
         400 | 404 | 413 => HostedRefusal::NoServer,
         504 => HostedRefusal::DeadlineAfterSend,
         _ if PROMISE_STATUSES.contains(&status) => {
+            let retry_delay = (wire.read_notice)(status, headers).rest;
             HostedRefusal::Shed(retry_delay.unwrap_or(DEFAULT_RETRY_DELAY))
         }
         _ => HostedRefusal::NoUsableResponse,
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -51,7 +51,7 @@
 }
 
 /// Caller's retry delay for refusals without a specific one.
-const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
+pub(crate) const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 impl HostedRefusal {
     /// Whether the request has certainly not run.
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -245,7 +245,7 @@
     Some(())
 }
 
-fn return_connection(
+pub(crate) fn return_connection(
     service: &HostedService,
     mut connection: BackendConnection,
     keep_alive: Option<Duration>,
