--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use model::{FieldFault, FieldKind, FieldRule, ZoneName};
+use quarantine::CrashLimits;
 
 use crate::load::{LogLevel, read_settings};
 use crate::report::SettingsError;
@@ -95,7 +96,8 @@
 
 impl Default for QuarantineSettings {
     fn default() -> Self {
-        Self { crashes: 3, time_s: 600.0 }
+        let limits = CrashLimits::default();
+        Self { crashes: limits.crashes, time_s: limits.quarantine_time.as_secs_f64() }
     }
 }
 
