One request builder for hosted tests, and one set of relay times

Five places built the same request with its ID and deadline, two test files sent requests in the same loop, and the tests of relays had their times and an empty configuration twice. Assertions and bounds are unchanged; harmful calls of the soak draw one random number less each. Measured: the tests of the files concerned, peers and testkit pass.

--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -1,32 +1,27 @@
 //! Messages that a relay sends to a subscriber, depending on the versions that it already holds.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{RevisionNumber, StoreVersion};
+use model::StoreVersion;
 use peers::{
-    HeldVersions, RelayHub, RelayMessage, RelaySubscription, RelayTiming, SubscriberMessage,
-    SubscriberTurns, serve_relay,
+    HeldVersions, RelayHub, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
+    serve_relay,
 };
 use quarantine::{CrashReport, Fingerprint, IncarnationKey};
-use routes::{CallerLimits, RouteTable, ServerChange, ServerRecord, ServiceName};
+use routes::{RouteTable, ServerChange, ServerRecord, ServiceName};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use crate::common::{TIMING, empty_route_table};
+
 /// Timeout for one message, long because CI runs with every core busy.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Times of the relay.
-const TIMING: RelayTiming = RelayTiming {
-    keep_alive_interval: Duration::from_millis(250),
-    handshake_timeout: Duration::from_millis(400),
-    budget_window: Duration::from_secs(10),
-    max_state_age: Duration::from_millis(1_100),
-    share_validity: Duration::from_millis(800),
-};
-
 /// Number of recent changes that a relay keeps.
 const CHANGE_HISTORY_CAPACITY: u64 = 64;
 
@@ -45,13 +40,7 @@
 }
 
 fn route_table(version: u64) -> RouteTable {
-    let limits = CallerLimits {
-        max_header_bytes: 1,
-        max_body_bytes: 1,
-        header_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(1),
-    };
-    RouteTable::new(RevisionNumber(version), std::iter::empty().collect(), limits)
+    empty_route_table(version, [])
 }
 
 /// A relay with configuration version 7, a server list at version 100 and one change to version
--- a/components/peers/tests/transfers.rs
+++ b/components/peers/tests/transfers.rs
@@ -1,45 +1,30 @@
 //! Transfers of relay messages over slow and broken links, in simulated time.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{RevisionNumber, StoreVersion};
-use peers::{
-    HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription, RelayTiming,
-    serve_subscriber,
-};
-use routes::{CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, ServiceName};
+use model::StoreVersion;
+use peers::{HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription, serve_subscriber};
+use routes::{ExecutionSemantics, HostedRoute, RouteTable, ServiceName};
 use routes::{ServiceInfo, WeightedService};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex, split};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::common::{TIMING, empty_route_table};
+
 /// Silence after which a subscriber leaves its relay.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Interval at which a link forwards bytes.
 const LINK_TICK: Duration = Duration::from_millis(10);
 
-/// Times of the relay.
-const TIMING: RelayTiming = RelayTiming {
-    keep_alive_interval: Duration::from_millis(250),
-    handshake_timeout: Duration::from_millis(400),
-    budget_window: Duration::from_secs(10),
-    max_state_age: Duration::from_millis(1_100),
-    share_validity: Duration::from_millis(800),
-};
-
 /// Returns a configuration that hardly compresses.
 fn route_table(version: u64, route_count: u64) -> RouteTable {
-    let limits = CallerLimits {
-        max_header_bytes: 1,
-        max_body_bytes: 1,
-        header_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(1),
-    };
     let service = ServiceName("orders".into());
     let info = ServiceInfo { health_path: "/".into(), max_connections: 1 };
-    let services = std::iter::once((service.clone(), info)).collect();
-    let mut table = RouteTable::new(RevisionNumber(version), services, limits);
+    let mut table = empty_route_table(version, [(service.clone(), info)]);
     let route = |number: u64| {
         // The multiplier of a linear congruential generator.
         let prefix = format!("/{:016x}/", number.wrapping_mul(0x5851_f42d_4c95_7f2d));
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -13,7 +13,7 @@
 
 pub use config::{hosted_config, hosted_route, standard_routes};
 pub use daemon::HostedDaemon;
-pub use fleet::{HostedFleet, request_id};
+pub use fleet::{HostedFleet, hosted_request, request_id};
 pub use raw_server::{RawConnection, RawRequest, RawServer, load_header, not_run_header};
 pub use server::{HostedBehaviour, HostedRun, HostedServer};
 
--- a/components/testkit/src/hosted/fleet.rs
+++ b/components/testkit/src/hosted/fleet.rs
@@ -1,19 +1,24 @@
 //! A fake store, fake servers and a daemon process as one fleet.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
+use hyper::Method;
 
 use platform::wire_interface;
 
-use crate::caller::CallRequest;
+use crate::caller::{CallRequest, call};
 use crate::hosted::{
     HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedRun, HostedServer, RawServer, hosted_config,
     standard_routes,
 };
 use crate::platform_server::FakePlatform;
 
+/// Deadline of requests, in milliseconds.
+const REQUEST_DEADLINE_MS: u64 = 20_000;
+
 /// A fake store, fake servers and one daemon process.
 pub struct HostedFleet {
     /// The platform with its store.
@@ -55,24 +60,30 @@
     }
 
     /// Returns a request with a new request ID.
-    pub fn request(&self, method: hyper::Method, path: &str) -> CallRequest {
+    pub fn request(&self, method: Method, path: &str) -> CallRequest {
         let number = self.request_count.fetch_add(1, Ordering::SeqCst);
-        let names = wire_interface().headers;
-        let mut request = CallRequest::get(self.daemon.callers, HOSTED_HOST, path)
-            .with_header(names.request_id.as_str(), &format!("request-{number}"))
-            .with_header(names.deadline_ms.as_str(), "20000");
-        request.method = method;
-        request
+        let id = format!("request-{number}");
+        hosted_request(self.daemon.callers, &id, method, path, REQUEST_DEADLINE_MS)
     }
 
     /// Returns an idempotent request.
     pub fn idempotent_request(&self) -> CallRequest {
-        self.request(hyper::Method::GET, "/read/1")
+        self.request(Method::GET, "/read/1")
+    }
+
+    /// Sends idempotent requests and returns the number of those that were served.
+    pub async fn send_requests(&self, count: u64) -> u64 {
+        let mut served = 0;
+        for _ in 0..count {
+            let response = call(&self.idempotent_request()).await.expect("the daemon responds");
+            served += u64::from(response.status == 200);
+        }
+        served
     }
 
     /// Returns a request that may run only once.
     pub fn order_request(&self, body: &str) -> CallRequest {
-        let mut request = self.request(hyper::Method::POST, "/order/1?kind=stone");
+        let mut request = self.request(Method::POST, "/order/1?kind=stone");
         request.body = Bytes::copy_from_slice(body.as_bytes());
         request
     }
@@ -96,6 +107,22 @@
     }
 }
 
+/// Returns a request with this ID and deadline to a daemon.
+pub fn hosted_request(
+    callers: SocketAddr,
+    id: &str,
+    method: Method,
+    path: &str,
+    deadline_ms: u64,
+) -> CallRequest {
+    let names = wire_interface().headers;
+    let mut request = CallRequest::get(callers, HOSTED_HOST, path)
+        .with_header(names.request_id.as_str(), id)
+        .with_header(names.deadline_ms.as_str(), &deadline_ms.to_string());
+    request.method = method;
+    request
+}
+
 /// Returns the request ID from the headers of a request.
 pub fn request_id(request: &CallRequest) -> Box<str> {
     let name = wire_interface().headers.request_id;
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -174,7 +174,7 @@
     }
 
     /// Ends the server with all of its connections and requests.
-    pub fn crash(&self) {
+    fn crash(&self) {
         self.state.crashed_at.lock().expect("crash lock is never poisoned").push(Instant::now());
         *self.web_server() = None;
     }
--- a/components/testkit/src/soak/checks.rs
+++ b/components/testkit/src/soak/checks.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use platform::wire_interface;
+use hyper::Method;
 use tokio::time::Instant;
 
-use crate::caller::{CallError, CallRequest, call};
-use crate::hosted::{HOSTED_HOST, HostedRun};
+use crate::caller::{CallError, call};
+use crate::hosted::{HostedRun, hosted_request};
 use crate::soak::fleet::{SoakFleet, version_prefix};
 use crate::soak::load::{CallRecord, DEADLINE_MS, HARMFUL_CALLERS, harmful_text};
 
@@ -16,6 +16,9 @@
 /// a leaving server.
 const MAX_LEAVE_TIME: Duration = Duration::from_secs(5);
 
+/// Deadline of the calls of a check, in milliseconds.
+const CHECK_DEADLINE_MS: u64 = 10_000;
+
 /// The daemons' `contact_s`.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -210,10 +213,8 @@
 
 /// Returns the status of a request on a route; `None` if there is no response.
 async fn request_status(daemon: std::net::SocketAddr, prefix: &str) -> Option<u16> {
-    let names = wire_interface().headers;
     let id = format!("ask-{}", Instant::now().elapsed().as_nanos());
-    let request = CallRequest::get(daemon, HOSTED_HOST, &format!("{prefix}1"))
-        .with_header(names.request_id.as_str(), &id)
-        .with_header(names.deadline_ms.as_str(), "10000");
+    let path = format!("{prefix}1");
+    let request = hosted_request(daemon, &id, Method::GET, &path, CHECK_DEADLINE_MS);
     call(&request).await.ok().map(|response| response.status)
 }
--- a/components/testkit/src/soak/load.rs
+++ b/components/testkit/src/soak/load.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::wire_interface;
+use hyper::Method;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
 use crate::caller::{CallError, CallRequest, CallResponse, CallerConnection, call};
-use crate::hosted::HOSTED_HOST;
+use crate::hosted::hosted_request;
 use crate::soak::fleet::CRASH_TEXT;
 
 /// Mean pause between two calls.
@@ -123,14 +123,12 @@
         let daemon = draw_daemon(&caller_addresses, &mut random);
         let text = harmful_text(number);
         let id = format!("{text}-{}", random.random_range(0..u64::MAX));
-        let mut planned = PlannedCall::new(id, daemon, &mut random);
-        let request = &mut planned.request;
-        (request.method, request.path, request.body) = match number.is_multiple_of(2) {
-            true => (hyper::Method::GET, format!("/read/{text}").into(), Bytes::new()),
-            false => (hyper::Method::POST, "/order/1".into(), text.into()),
+        let request = match number.is_multiple_of(2) {
+            true => soak_request(daemon, &id, Method::GET, &format!("/read/{text}"), ""),
+            false => soak_request(daemon, &id, Method::POST, "/order/1", &text),
         };
         // Its result is of no interest.
-        let _ = call(&planned.request).await;
+        let _ = call(&request).await;
     }
 }
 
@@ -144,6 +142,19 @@
     addresses[random.random_range(0..addresses.len())]
 }
 
+fn soak_request(
+    daemon: SocketAddr,
+    id: &str,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> CallRequest {
+    let mut request = hosted_request(daemon, id, method, path, DEADLINE_MS);
+    request.timeout = Duration::from_millis(DEADLINE_MS);
+    request.body = Bytes::copy_from_slice(body.as_bytes());
+    request
+}
+
 /// A call to send.
 struct PlannedCall {
     id: Box<str>,
@@ -155,16 +166,10 @@
 impl PlannedCall {
     fn new(id: String, daemon: SocketAddr, random: &mut StdRng) -> Self {
         let is_order = random.random_bool(0.5);
-        let names = wire_interface().headers;
-        let path = if is_order { "/order/1" } else { "/read/1" };
-        let mut request = CallRequest::get(daemon, HOSTED_HOST, path)
-            .with_header(names.request_id.as_str(), &id)
-            .with_header(names.deadline_ms.as_str(), &DEADLINE_MS.to_string());
-        request.timeout = Duration::from_millis(DEADLINE_MS);
-        if is_order {
-            request.method = hyper::Method::POST;
-            request.body = "one stone".into();
-        }
+        let request = match is_order {
+            true => soak_request(daemon, &id, Method::POST, "/order/1", "one stone"),
+            false => soak_request(daemon, &id, Method::GET, "/read/1", ""),
+        };
         Self { id: id.into(), is_order, request, sent_at: Instant::now() }
     }
 
--- a/tests/hosted_crashing_requests.rs
+++ b/tests/hosted_crashing_requests.rs
@@ -10,8 +10,8 @@
 use hyper::Method;
 use routes::ServerRecord;
 use testkit::{
-    CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
-    HostedServer, call, free_address, hosted_config, standard_routes,
+    CallRequest, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer, call,
+    free_address, hosted_config, hosted_request, standard_routes,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -120,13 +120,8 @@
     /// Returns a request to the VM `number`, modulo the number of VMs.
     fn request(&mut self, number: usize, method: Method, path: &str) -> CallRequest {
         self.next_id += 1;
-        let names = platform::wire_interface().headers;
         let callers = self.daemons[number % self.daemons.len()].callers;
-        let mut request = CallRequest::get(callers, HOSTED_HOST, path)
-            .with_header(names.request_id.as_str(), &format!("request-{}", self.next_id))
-            .with_header(names.deadline_ms.as_str(), "20000");
-        request.method = method;
-        request
+        hosted_request(callers, &format!("request-{}", self.next_id), method, path, 20_000)
     }
 
     /// When servers started to run requests whose target or body contains a text, in order.
--- a/tests/hosted_limits.rs
+++ b/tests/hosted_limits.rs
@@ -20,19 +20,10 @@
 /// Requests of each step of the test, more than two servers get in 4 s from all entry VMs.
 const STEP_REQUESTS: u64 = 80;
 
-async fn send_requests(fleet: &HostedFleet, count: u64) -> u64 {
-    let mut served = 0;
-    for _ in 0..count {
-        let response = call(&fleet.idempotent_request()).await.expect("the daemon responds");
-        served += u64::from(response.status == 200);
-    }
-    served
-}
-
 /// Sends requests to a daemon that is not the fleet's own.
 async fn send_requests_to(fleet: &mut HostedFleet, daemon: &mut HostedDaemon, count: u64) {
     std::mem::swap(&mut fleet.daemon, daemon);
-    send_requests(fleet, count).await;
+    fleet.send_requests(count).await;
     std::mem::swap(&mut fleet.daemon, daemon);
 }
 
@@ -44,12 +35,12 @@
     let limited = &fleet.servers[0];
     limited.set_limit(Some(LIMIT));
     eventually("the daemon has a response with the limit", async || {
-        send_requests(&fleet, 1).await;
+        fleet.send_requests(1).await;
         limited.request_count() > 0
     })
     .await;
     let (before, started_at) = (limited.request_count(), std::time::Instant::now());
-    let served = send_requests(&fleet, STEP_REQUESTS).await;
+    let served = fleet.send_requests(STEP_REQUESTS).await;
     assert_eq!(served, STEP_REQUESTS, "the other server runs the requests");
     let seconds = started_at.elapsed().as_secs_f64();
     let allowed = (1.5 * LIMIT.0 * seconds.max(4.0) + REQUEST_SLACK) as u64;
@@ -95,14 +86,14 @@
     let limited = &fleet.servers[0];
     limited.set_limit(Some(RequestRate(20.0)));
     eventually("the daemon has a response with the limit", async || {
-        send_requests(&fleet, 1).await;
+        fleet.send_requests(1).await;
         limited.request_count() > 0
     })
     .await;
     limited.set_limit(None);
     eventually("the server gets a quarter of the requests", async || {
         let before = limited.request_count();
-        send_requests(&fleet, STEP_REQUESTS).await;
+        fleet.send_requests(STEP_REQUESTS).await;
         limited.request_count() - before >= STEP_REQUESTS / 4
     })
     .await;
--- a/tests/hosted_lost_servers.rs
+++ b/tests/hosted_lost_servers.rs
@@ -9,8 +9,8 @@
 use routes::ServerRecord;
 use rustix::process::Signal;
 use testkit::{
-    CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
-    HostedServer, call, eventually, free_address, hosted_config, standard_routes,
+    CallRequest, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer, call,
+    eventually, free_address, hosted_config, hosted_request, standard_routes,
 };
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -83,13 +83,8 @@
 
     fn request(&mut self, vm: usize, method: Method, path: &str) -> CallRequest {
         self.next_id += 1;
-        let names = platform::wire_interface().headers;
         let callers = self.vms[vm].daemon.callers;
-        let mut request = CallRequest::get(callers, HOSTED_HOST, path)
-            .with_header(names.request_id.as_str(), &format!("request-{}", self.next_id))
-            .with_header(names.deadline_ms.as_str(), "2000");
-        request.method = method;
-        request
+        hosted_request(callers, &format!("request-{}", self.next_id), method, path, 2_000)
     }
 
     /// Sends look-ups to a VM and returns how many were served.
--- a/tests/hosted_notices.rs
+++ b/tests/hosted_notices.rs
@@ -25,22 +25,12 @@
     HostedFleet::start(Path::new(DAEMON_PATH), servers, behaviour).await
 }
 
-/// Sends idempotent requests and returns the number of those that were served.
-async fn send_requests(fleet: &HostedFleet, count: u64) -> u64 {
-    let mut served = 0;
-    for _ in 0..count {
-        let response = call(&fleet.idempotent_request()).await.expect("the daemon responds");
-        served += u64::from(response.status == 200);
-    }
-    served
-}
-
 /// Sends requests until a server has received one; returns the time at which that one was
 /// answered, or shortly after.
 async fn send_until_received(fleet: &HostedFleet, server: &HostedServer) -> Instant {
     let before = server.request_count();
     eventually("the server receives a request", async || {
-        send_requests(fleet, 1).await;
+        fleet.send_requests(1).await;
         server.request_count() > before
     })
     .await;
@@ -59,7 +49,7 @@
     leaving.tell_probes_of_leaving(false);
     leaving.set_leaving(true);
     let told_at = send_until_received(&fleet, leaving).await;
-    assert_eq!(send_requests(&fleet, STEP_REQUESTS).await, STEP_REQUESTS);
+    assert_eq!(fleet.send_requests(STEP_REQUESTS).await, STEP_REQUESTS);
     let received = received_after(leaving, told_at);
     assert_eq!(received, 0, "requests and probes after {behaviour:?}");
 }
@@ -96,13 +86,13 @@
     let leaving = &fleet.servers[0];
     leaving.set_leaving(true);
     eventually("the daemon has probed the server", async || {
-        send_requests(&fleet, 1).await;
+        fleet.send_requests(1).await;
         !leaving.received_at().is_empty()
     })
     .await;
     sleep(NOTICE_DELAY).await;
     let (told_at, before) = (Instant::now(), leaving.request_count());
-    send_requests(&fleet, STEP_REQUESTS).await;
+    fleet.send_requests(STEP_REQUESTS).await;
     assert_eq!(leaving.request_count(), before);
     assert_eq!(received_after(leaving, told_at), 0, "probes");
 }
@@ -122,7 +112,7 @@
     fleet.platform.put_server(&record);
     let received_before = leaving.request_count();
     eventually("the entry was applied", async || {
-        send_requests(&fleet, STEP_REQUESTS).await;
+        fleet.send_requests(STEP_REQUESTS).await;
         fleet.daemon.log_lines_containing("list applied").len() >= 2
     })
     .await;
@@ -137,7 +127,7 @@
         fleet.daemon.log_lines_containing("list applied").len() >= 4
     })
     .await;
-    send_requests(&fleet, STEP_REQUESTS).await;
+    fleet.send_requests(STEP_REQUESTS).await;
     assert_eq!(leaving.request_count(), received_before);
     record.started_at_ms += 1;
     fleet.platform.put_server(&record);
@@ -155,7 +145,7 @@
     let refused_at = *resting.received_at().last().expect("the server received the request");
     resting.set_behaviour(HostedBehaviour::Run(Duration::ZERO));
     while refused_at.elapsed() < REST - NOTICE_DELAY {
-        assert_eq!(send_requests(&fleet, 1).await, 1, "the other server runs the request");
+        assert_eq!(fleet.send_requests(1).await, 1, "the other server runs the request");
     }
     let received = resting.received_at();
     let during_rest = received.iter().filter(|at| **at > told_at && **at < refused_at + REST);
@@ -173,14 +163,14 @@
     resting.set_health(StatusCode::SERVICE_UNAVAILABLE);
     resting.set_retry_after(Some(REST_SECONDS));
     eventually("the daemon has probed the server", async || {
-        send_requests(&fleet, 1).await;
+        fleet.send_requests(1).await;
         !resting.received_at().is_empty()
     })
     .await;
     let told_at = Instant::now() + NOTICE_DELAY / 5;
     sleep(NOTICE_DELAY).await;
     while told_at.elapsed() < REST - 2 * NOTICE_DELAY {
-        assert_eq!(send_requests(&fleet, 1).await, 1, "the other server runs the request");
+        assert_eq!(fleet.send_requests(1).await, 1, "the other server runs the request");
     }
     assert_eq!(received_after(resting, told_at), 0, "requests and probes during the rest");
 }
@@ -191,7 +181,7 @@
     let fleet = start_fleet(1).await;
     let resting = &fleet.servers[0];
     // They earn the budget of extra attempts.
-    send_requests(&fleet, STEP_REQUESTS).await;
+    fleet.send_requests(STEP_REQUESTS).await;
     resting.set_behaviour(HostedBehaviour::Shed);
     resting.set_retry_after(Some(REST_SECONDS));
     let (told_at, before) = (Instant::now(), resting.request_count());
@@ -215,7 +205,7 @@
         server.set_retry_after(Some(rest));
     }
     eventually("both servers want no requests", async || {
-        send_requests(&fleet, 1).await;
+        fleet.send_requests(1).await;
         fleet.servers.iter().all(|server| server.request_count() > 0)
     })
     .await;
@@ -237,7 +227,7 @@
         server.set_retry_after(Some(text));
         send_until_received(&fleet, server).await;
         server.set_behaviour(HostedBehaviour::Run(Duration::ZERO));
-        assert_eq!(send_requests(&fleet, 3).await, 3, "after Retry-After: {text:?}");
+        assert_eq!(fleet.send_requests(3).await, 3, "after Retry-After: {text:?}");
         eventually("the value is logged", async || {
             !fleet.daemon.log_lines_containing("ignored an invalid notice").is_empty()
         })
--- a/tests/hosted_slow_links.rs
+++ b/tests/hosted_slow_links.rs
@@ -5,10 +5,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use hyper::Method;
 use routes::ExecutionSemantics;
 use testkit::{
-    CallRequest, FakePlatform, FaultProxy, HOSTED_HOST, HostedBehaviour, HostedDaemon,
-    HostedServer, call, eventually, free_address, hosted_config, hosted_route, standard_routes,
+    FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer, call, eventually,
+    free_address, hosted_config, hosted_request, hosted_route, standard_routes,
 };
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
@@ -45,11 +46,8 @@
 }
 
 async fn wait_until_served(callers: SocketAddr, path: &str) {
-    let names = platform::wire_interface().headers;
     eventually(&format!("{path} is served"), async || {
-        let request = CallRequest::get(callers, HOSTED_HOST, path)
-            .with_header(names.request_id.as_str(), "request-1")
-            .with_header(names.deadline_ms.as_str(), "20000");
+        let request = hosted_request(callers, "request-1", Method::GET, path, 20_000);
         call(&request).await.is_ok_and(|response| response.status == 200)
     })
     .await;
