--- a/tests/hosted_lost_servers.rs
+++ b/tests/hosted_partitioned_vms.rs
@@ -127,7 +127,7 @@
     }
 }
 
-async fn check_vm_without_servers(loss: Loss) {
+async fn check_partitioned_vm(loss: Loss) {
     let mut fleet = Fleet::start(2).await;
     assert_eq!(fleet.served(0).await, REQUESTS);
     assert_eq!(fleet.served(1).await, REQUESTS);
@@ -159,13 +159,13 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn vm_whose_connections_to_all_servers_hang_serves_its_callers() {
-    check_vm_without_servers(Loss::Hang).await;
+async fn vm_partitioned_from_all_servers_serves_its_callers_while_connections_hang() {
+    check_partitioned_vm(Loss::Hang).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn vm_that_all_servers_refuse_serves_its_callers() {
-    check_vm_without_servers(Loss::Refuse).await;
+async fn vm_partitioned_from_all_servers_serves_its_callers_while_connections_are_refused() {
+    check_partitioned_vm(Loss::Refuse).await;
 }
 
 /// Servers that are all gone are no partition: no VM can help, and requests are refused as not run.
@@ -198,7 +198,7 @@
 
 /// A VM that serves requests for another one can freeze or be lost.
 #[tokio::test(flavor = "multi_thread")]
-async fn vm_without_servers_serves_its_callers_while_another_vm_is_frozen() {
+async fn vm_partitioned_from_all_servers_serves_its_callers_while_another_vm_is_frozen() {
     let mut fleet = Fleet::start(4).await;
     assert_eq!(fleet.served(0).await, REQUESTS);
     fleet.cut(0, Loss::Refuse);
