Report the release of a request at the VM whose server responded, too

Found by reading: the VM that got the response dropped its verdict itself, so that its log had no line about the release and its metric stayed until the next decision; only other VMs reported it. Measured: the added assertion failed before (no decision), and passes.

--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -195,7 +195,10 @@
     /// Records that a server has responded to a request of this VM. If the request was suspected, this
     /// clears it. Returns the reports for other VMs.
     pub fn record_response(&mut self, content: Fingerprint, now: Instant) -> Vec<CrashReport> {
-        self.verdicts.remove(&content);
+        if !self.reports.contains_key(&content) {
+            // It was only watched after its quarantine. Otherwise `decide` releases it.
+            self.verdicts.remove(&content);
+        }
         self.remember_response(content);
         let mut reports = self.reports_of(content, now);
         reports.retain(|report| !report.is_cleared);
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -128,7 +128,7 @@
         other.ledger.merge(report, other.now);
     }
     assert_eq!(other.settle(), [Decision::Released(content(1))]);
-    one.settle();
+    assert_eq!(one.settle(), [Decision::Released(content(1))]);
     assert!(!one.is_quarantined(1) && !other.is_quarantined(1));
     // A report of a third VM that arrives late doesn't undo it.
     other.crash(3, &[1]);
