--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -14,7 +14,7 @@
 use peers::{HeldVersions, PeerError, RelayHub};
 use proxy::HostedServices;
 use quarantine::CrashBoard;
-use routes::{RouteTable, ServerChange, ServerRegistry};
+use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRegistry};
 
 /// Where a configuration came from.
 pub(crate) struct ConfigSource {
@@ -109,6 +109,8 @@
             accepts_compressed: true,
             exchanges_crash_reports: true,
             is_relay: false,
+            format: CONFIG_FORMAT,
+            evacuations: None,
         }
     }
 
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -178,6 +178,7 @@
     ) -> Option<SubscriptionEnd> {
         let view = &self.view;
         match message {
+            RelayMessage::Evacuations { .. } | RelayMessage::CreditGrants(_) => {}
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
--- a/components/peers/src/relay/hub.rs
+++ b/components/peers/src/relay/hub.rs
@@ -11,7 +11,7 @@
 use limits::{MemberId, ShareLedger, share_divisor};
 use model::StoreVersion;
 use quarantine::CrashBoard;
-use routes::{RouteTable, ServerChange, ServerRecord};
+use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRecord};
 
 use crate::relay::helpers::{HelperConnection, HelperSet, HelperSource};
 use crate::relay::messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
@@ -307,6 +307,7 @@
             turns: self.known_turns(&state, membership, now),
             era: state.servers.as_ref().map_or(0, |latest| latest.version.era),
             clock_ms: Some(state.clock_ms(now)),
+            format: CONFIG_FORMAT,
         })
     }
 
@@ -382,6 +383,7 @@
                 self.crashes.merge(&reports, Instant::now());
                 None
             }
+            SubscriberMessage::CreditRequests(_) => None,
             SubscriberMessage::Helpers { callers, needs_helpers } => {
                 connection.set(callers);
                 Some(needs_helpers)
--- a/components/peers/src/relay/messages.rs
+++ b/components/peers/src/relay/messages.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use model::StoreVersion;
+use model::{StoreVersion, ZoneName};
 use quarantine::CrashReport;
 use routes::{RouteTable, ServerChange, ServerRecord};
 
@@ -24,6 +24,33 @@
     /// Whether the subscriber is another relay, which only exchanges crash reports.
     #[serde(default)]
     pub is_relay: bool,
+    /// Format of configurations that the subscriber uses; 0 from an older version of the daemon,
+    /// which understands neither evacuations nor credits.
+    #[serde(default)]
+    pub format: u32,
+    /// Store version of the evacuated zones.
+    #[serde(default)]
+    pub evacuations: Option<StoreVersion>,
+}
+
+/// Requests of a client account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CreditRequest {
+    /// Name of the account.
+    pub account: Box<str>,
+    /// Number of requests that wait for a credit.
+    pub count: u32,
+}
+
+/// Response to a credit request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CreditGrant {
+    /// Name of the account.
+    pub account: Box<str>,
+    /// Number of requests that may be forwarded; at most the requested number.
+    pub count: u32,
+    /// Milliseconds until there will be credit again, if not all requests got one.
+    pub retry_after_ms: u32,
 }
 
 /// A message from a subscriber to a relay that exchanges crash reports.
@@ -31,6 +58,8 @@
 pub enum SubscriberMessage {
     /// Crash reports, of which the relay may hold some already.
     CrashReports(Vec<CrashReport>),
+    /// Requests for credits, one for each account.
+    CreditRequests(Vec<CreditRequest>),
     /// Which VMs reach backend servers, as far as the sender knows: itself, or subscribers of another
     /// relay.
     Helpers {
@@ -62,6 +91,16 @@
         /// The changes in the order of their occurrence.
         changes: Vec<ServerChange>,
     },
+    /// Availability zones that are evacuated at a store version. Not sent to older versions of the
+    /// daemon.
+    Evacuations {
+        /// The store version.
+        version: StoreVersion,
+        /// The zones.
+        zones: Vec<ZoneName>,
+    },
+    /// Responses to credit requests. Not sent to older versions of the daemon.
+    CreditGrants(Vec<CreditGrant>),
     /// Crash reports, of which the subscriber may hold some already. Between relays, an empty list
     /// is the keep-alive message.
     CrashReports(Vec<CrashReport>),
@@ -90,6 +129,9 @@
         /// Milliseconds on the relay's steady clock; `None` from an older version of the daemon.
         #[serde(default)]
         clock_ms: Option<u64>,
+        /// Format of the relay's configuration; 0 from an older version of the daemon.
+        #[serde(default)]
+        format: u32,
     },
 }
 
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -134,6 +134,8 @@
         RelayMessage::Changes { version, .. } => ("changes", version.number),
         RelayMessage::Helpers(helpers) => ("helpers", helpers.len() as u64),
         RelayMessage::CrashReports(reports) => ("crash reports", reports.len() as u64),
+        RelayMessage::Evacuations { version, .. } => ("evacuations", version.number),
+        RelayMessage::CreditGrants(grants) => ("credits", grants.len() as u64),
         RelayMessage::KeepAlive { age_ms, .. } => ("keep-alive", *age_ms),
     };
     received.iter().map(version).collect()
--- a/components/peers/tests/transfers.rs
+++ b/components/peers/tests/transfers.rs
@@ -23,7 +23,7 @@
 /// Returns a configuration that hardly compresses.
 fn route_table(version: u64, route_count: u64) -> RouteTable {
     let service = ServiceName("orders".into());
-    let info = ServiceInfo { health_path: "/".into(), max_connections: 1 };
+    let info = ServiceInfo { health_path: "/".into(), max_connections: 1, warm_up: None };
     let mut table = empty_route_table(version, [(service.clone(), info)]);
     let route = |number: u64| {
         // The multiplier of a linear congruential generator.
@@ -37,6 +37,7 @@
             priority: 1,
             max_attempts: 1,
             services: vec![WeightedService { service: service.clone(), weight: 1 }],
+            is_public: false,
         }
     };
     table.add_host("a.example", (1..=route_count).map(route).collect());
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -3,15 +3,17 @@
 //! A platform of this kind has its own interface for operators. Its configuration is not kept as
 //! versioned records of mustardrail: each update is complete and replaces the previous one.
 
+mod accounts;
 mod interface;
 mod registry;
 mod server;
 mod table;
 
+pub use accounts::{AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash};
 pub use interface::{HeaderNames, WireInterface};
 pub use registry::ServerRegistry;
 pub use server::{ServerChange, ServerRecord};
 pub use table::{
-    CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, ServiceInfo, ServiceName,
-    WeightedService,
+    CONFIG_FORMAT, CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, ServiceInfo,
+    ServiceName, WarmUp, WeightedService,
 };
--- a/components/routes/src/table.rs
+++ b/components/routes/src/table.rs
@@ -6,7 +6,14 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use model::{FastMap, RevisionNumber};
+use model::{FastMap, RequestRate, RevisionNumber};
+
+use crate::accounts::ClientAccounts;
+
+/// Format of configurations that entry VMs send each other. It grows with each part that a reader
+/// must not take for absent: a VM uses no configuration of a lower format than its own. 0 is a
+/// configuration without client accounts and warm-up limits, from a daemon that doesn't know them.
+pub const CONFIG_FORMAT: u32 = 1;
 
 /// Name of a service on the platform.
 #[derive(
@@ -68,16 +75,31 @@
     /// Services that receive the requests. Invariant: not empty.
     #[serde(rename = "parts")]
     pub services: Vec<WeightedService>,
+    /// Whether requests need no key although the configuration has client accounts.
+    #[serde(default)]
+    pub is_public: bool,
+}
+
+/// How backend servers of a service warm up after their start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time for which a server is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold server tolerates from all entry VMs together.
+    pub rate: RequestRate,
 }
 
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceInfo {
     /// Path of health checks.
     pub health_path: Box<str>,
     /// Maximum number of connections that one backend server accepts from all entry VMs together.
     #[serde(rename = "connections")]
     pub max_connections: u32,
+    /// `None` if cold servers need no care.
+    #[serde(default)]
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Limits for callers' requests and connections.
@@ -98,8 +120,11 @@
 }
 
 /// A complete configuration. Invariant: all its parts are of one version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
+    /// Format of the configuration; 0 if it comes from an older version of the daemon.
+    #[serde(default)]
+    pub format: u32,
     /// Version of the configuration.
     pub version: RevisionNumber,
     /// Routes by host. Invariant: the routes of a host are sorted by descending prefix length, and
@@ -109,6 +134,9 @@
     pub services: FastMap<ServiceName, ServiceInfo>,
     /// Limits for callers' requests and connections.
     pub limits: CallerLimits,
+    /// Client accounts; `None` if requests need no key.
+    #[serde(default)]
+    pub accounts: Option<ClientAccounts>,
 }
 
 impl RouteTable {
@@ -118,7 +146,8 @@
         services: FastMap<ServiceName, ServiceInfo>,
         limits: CallerLimits,
     ) -> Self {
-        Self { version, hosts: FastMap::default(), services, limits }
+        let hosts = FastMap::default();
+        Self { format: CONFIG_FORMAT, version, hosts, services, limits, accounts: None }
     }
 
     /// Adds the routes of a host.
--- a/components/testkit/src/hosted/config.rs
+++ b/components/testkit/src/hosted/config.rs
@@ -31,13 +31,15 @@
                 weight: *weight,
             })
             .collect(),
+        is_public: false,
     }
 }
 
 /// Returns a configuration of the test host.
 pub fn hosted_config(version: u64, routes: Vec<HostedRoute>) -> RouteTable {
     let services = routes.iter().flat_map(|route| &route.services).map(|weighted_service| {
-        let info = ServiceInfo { health_path: HEALTH_PATH.into(), max_connections: 200 };
+        let info =
+            ServiceInfo { health_path: HEALTH_PATH.into(), max_connections: 200, warm_up: None };
         (weighted_service.service.clone(), info)
     });
     let limits = CallerLimits {
