Refuse no request by a service time that no response has confirmed

A route without a sample assumed a third of the shorter of target and timeout. Requests with a shorter deadline were all refused, so no response could correct the estimate. The same held for a learned estimate after its servers had become faster.

An estimate counts as confirmed for the route's timeout after a response that took at least as long. Until then the time that is assumed for a request is at most 0.8 of what its caller allows, the bound that already held for the target. Routes whose responses confirm their estimate are unaffected: the deadline of the request doesn't matter there.

Ruled out: a first sample that replaces the estimate (changes the start of every route, and one fast response of a tail would decide); letting expired requests confirm (one hanging server would refuse the requests of all).

Before: hosted_short_deadlines failed at its first deadline (target 10 s, deadline 3 s, runs of 20 ms). Tests of proxy, hosted_extremes, hosted_limits, hosted_faults pass.

--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -173,7 +173,7 @@
         let body = self.read_body(table, incoming, deadline).await?;
         let request_bytes = body.buffered_bytes() as u64;
         let shape = RequestShape {
-            service_time: self.route_stats.service_time(route),
+            service_time: self.route_stats.service_time(route, requested_time, now),
             transfer_bytes: request_bytes + self.route_stats.response_bytes(route),
             target: route.target_latency,
         };
@@ -210,7 +210,8 @@
         if result.as_ref().is_ok_and(|response| response.http.status().is_success())
             && progress.attempts == 1
         {
-            self.route_stats.record_service_time(route, sent_at.elapsed());
+            let responded_at = Instant::now();
+            self.route_stats.record_service_time(route, responded_at - sent_at, responded_at);
         }
         result
     }
--- a/components/proxy/src/hosted/route_stats.rs
+++ b/components/proxy/src/hosted/route_stats.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::time::Instant;
 
 use crate::hosted::requested_times::RequestedTimes;
 use model::FastMap;
@@ -15,7 +16,8 @@
 const INITIAL_SERVICE_TIME_FRACTION: f64 = 0.33;
 
 /// Range of the typical service time, as a fraction of the same. Without the upper bound, a high
-/// estimate would cause all requests to be refused, and no new sample could correct it.
+/// estimate would cause all requests to be refused, and no new sample could correct it. The upper
+/// bound also applies to the caller's time while the estimate is unconfirmed.
 const SERVICE_TIME_FRACTION_RANGE: (f64, f64) = (0.05, 0.8);
 
 /// Quantile of the sampled times that is used as the typical service time. Longer samples include
@@ -41,6 +43,8 @@
 struct RouteStats {
     /// Typical service time of a request.
     service_seconds: f64,
+    /// When a response took at least `service_seconds`; `None` before the first.
+    confirmed_at: Option<Instant>,
     /// Moving average of the size of response bodies; `None` before the first.
     response_bytes: Option<f64>,
     requested_times: RequestedTimes,
@@ -55,20 +59,40 @@
 }
 
 impl RouteStatsTable {
-    /// Returns the typical service time of a request on the route.
-    pub(crate) fn service_time(&self, route: &HostedRoute) -> Duration {
+    /// Returns the service time that is assumed for a request whose caller waits `requested_time`.
+    ///
+    /// It is the typical one of the route while responses confirm that. An estimate that is too
+    /// high refuses the requests whose responses would correct it, so one that no response has
+    /// confirmed within the route's timeout is assumed to fit in `requested_time`.
+    pub(crate) fn service_time(
+        &self,
+        route: &HostedRoute,
+        requested_time: Duration,
+        now: Instant,
+    ) -> Duration {
         // The target or timeout may have changed since the last sample.
-        let max_seconds = response_goal_seconds(route) * SERVICE_TIME_FRACTION_RANGE.1;
-        Duration::from_secs_f64(
-            self.with_stats(route, |stats| stats.service_seconds.min(max_seconds)),
-        )
+        let goal_seconds = response_goal_seconds(route);
+        self.with_stats(route, |stats| {
+            let is_confirmed =
+                stats.confirmed_at.is_some_and(|confirmed_at| now < confirmed_at + route.timeout);
+            let available_seconds = match is_confirmed {
+                true => goal_seconds,
+                false => goal_seconds.min(requested_time.as_secs_f64()),
+            };
+            let max_seconds = available_seconds * SERVICE_TIME_FRACTION_RANGE.1;
+            Duration::from_secs_f64(stats.service_seconds.min(max_seconds))
+        })
     }
 
     /// Updates the typical service time with a sample.
-    pub(crate) fn record_service_time(&self, route: &HostedRoute, elapsed: Duration) {
+    pub(crate) fn record_service_time(&self, route: &HostedRoute, elapsed: Duration, now: Instant) {
         let goal_seconds = response_goal_seconds(route);
         self.with_stats(route, |stats| {
-            let step = match elapsed.as_secs_f64() > stats.service_seconds {
+            let is_longer = elapsed.as_secs_f64() >= stats.service_seconds;
+            if is_longer {
+                stats.confirmed_at = Some(now);
+            }
+            let step = match is_longer {
                 true => SERVICE_TIME_QUANTILE,
                 false => SERVICE_TIME_QUANTILE - 1.0,
             };
@@ -128,6 +152,7 @@
         }
         let stats = routes.entry(route.name.clone()).or_insert_with(|| RouteStats {
             service_seconds: response_goal_seconds(route) * INITIAL_SERVICE_TIME_FRACTION,
+            confirmed_at: None,
             response_bytes: None,
             requested_times: RequestedTimes::default(),
             credits: Vec::new(),
@@ -171,3 +196,6 @@
     credits[best].credit -= total;
     credits[best].service.service.clone()
 }
+
+#[cfg(test)]
+mod tests;
