Authenticate requests of client accounts in hosted mode

Cause: configurations of a hosting platform may name client accounts with keys; requests ran whoever sent them, and a caller could name any account to a backend server.

Change: `tenants` and `public` are read; invalid accounts invalidate the configuration as a whole, with an error that names the account and quotes no value. Requests are authenticated after their route is found (401), by the configuration in force at their start, and again before each attempt, a hedged one and a forwarding to another VM if its version has changed. Servers get the account's name and no key, whatever the caller sent and whatever its Connection field names. A forwarded request keeps its key, so that the other VM authenticates it, and is counted there for the retry budget, so that the header `mustardrail-forwarded` grants a caller nothing. Fingerprints include the account. Keys are held as hashes, compared in constant time; model has the only copy of both functions.

--- a/components/daemon/src/operators/request_handler.rs
+++ b/components/daemon/src/operators/request_handler.rs
@@ -9,7 +9,7 @@
 
 use model::{
     FieldFault, OperationId, OperatorKeyScope, RecordKey, RevisionNumber, VersionedRecord,
-    parse_record,
+    hashes_match, parse_record,
 };
 use records::{
     OperatorIdentity, WriteRequest, WriteVerb, hash_key, history_prefix, may_read, may_write,
@@ -64,7 +64,7 @@
 }
 
 fn is_first_key(api: &OperatorApi, key: &str) -> bool {
-    records::hashes_match(&hash_key(key), &api.first_key_sha256)
+    hashes_match(hash_key(key).as_bytes(), api.first_key_sha256.as_bytes())
 }
 
 fn readiness_response(api: &OperatorApi) -> ApiResponse {
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -3,6 +3,7 @@
 mod check;
 mod ids;
 mod jitter;
+mod keys;
 mod quantities;
 mod record;
 mod specs;
@@ -14,6 +15,7 @@
     SchemaVersion, ServerId, VmId, ZoneName,
 };
 pub use jitter::{jittered, jittered_with};
+pub use keys::{hash_key_bytes, hashes_match};
 pub use quantities::{ByteSize, ProbeRate, RequestRate};
 pub use record::{RecordKey, RecordKind, VersionedRecord, parse_record};
 pub use specs::{
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -24,7 +24,7 @@
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
 use quarantine::Fingerprint;
-use routes::{ExecutionSemantics, HostedRoute, ServiceName, WireInterface};
+use routes::{ClientAccount, ExecutionSemantics, HostedRoute, ServiceName, WireInterface};
 
 use crate::body::BackendRequestBody;
 use crate::dispatch::RequestHead;
@@ -34,6 +34,7 @@
 };
 use crate::hosted::crash_detector::{BrokenServer, CrashDetector};
 use crate::hosted::helpers::Helpers;
+use crate::hosted::identity::CallerIdentity;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::selection::{SelectedServer, SelectionContext, check_access, select_server};
 use crate::hosted::service::HostedService;
@@ -57,6 +58,9 @@
     pub(crate) is_forwarded: bool,
     pub(crate) health_path: Option<&'a str>,
     pub(crate) request_id: HeaderValue,
+    pub(crate) identity: CallerIdentity,
+    /// Host of the request, in lower case and without a port.
+    pub(crate) host: Box<str>,
     pub(crate) head: RequestHead,
     pub(crate) body: RequestBody,
     /// Fingerprint of the request, once it is needed.
@@ -77,6 +81,8 @@
     pub(crate) service: Option<ServiceName>,
     /// Version of the configuration by which the request was routed.
     pub(crate) config_version: Option<RevisionNumber>,
+    /// Client account of the request.
+    pub(crate) account: Option<Arc<ClientAccount>>,
     /// Expected time for waiting and running at the server selected last.
     pub(crate) expected_time: Duration,
     /// Servers of all attempts, including those that could not be reached.
@@ -146,8 +152,7 @@
     ) -> Result<ServerResponse, HostedRefusal> {
         let mut attempts = FuturesUnordered::new();
         let server = self.acquire_server().await?;
-        // Servers may have crashed while the request was queued.
-        self.check_quarantine()?;
+        self.check_before_attempt()?;
         let mut hedge_at = self.hedge_at(&server);
         attempts.push(self.start_attempt(server, ReusePolicy::Any, sent_flags));
         let mut may_hedge =
@@ -179,7 +184,8 @@
                             }
                             server = self.acquire_another_server() => server,
                         };
-                        if let Some(server) = server.filter(|_| self.take_extra()) {
+                        let is_allowed = self.check_config().is_ok();
+                        if let Some(server) = server.filter(|_| is_allowed && self.take_extra()) {
                             let reuse_policy = ReusePolicy::Never;
                             attempts.push(self.start_attempt(server, reuse_policy, sent_flags));
                         }
@@ -204,7 +210,7 @@
                 true => self.acquire_another_server().await,
                 false => Some(self.acquire_server().await?),
             };
-            if let Err(refusal) = self.check_quarantine() {
+            if let Err(refusal) = self.check_before_attempt() {
                 return error_response.ok_or(refusal);
             }
             match server.filter(|_| self.take_extra()) {
@@ -274,6 +280,24 @@
         }
     }
 
+    /// Refuses a request for reasons that may have arisen while it was queued.
+    fn check_before_attempt(&self) -> Result<(), HostedRefusal> {
+        self.check_quarantine()?;
+        self.check_config()
+    }
+
+    /// Refuses a request if a newer configuration than the one by which it was routed takes away
+    /// its key or route.
+    pub(crate) fn check_config(&self) -> Result<(), HostedRefusal> {
+        if self.board.version() == self.progress.config_version {
+            return Ok(());
+        }
+        let Some(table) = self.board.routes() else {
+            return Ok(());
+        };
+        self.identity.check(&table, &self.host, self.head.target.path())
+    }
+
     /// Refuses a request that is known to crash its servers.
     pub(crate) fn check_quarantine(&self) -> Result<(), HostedRefusal> {
         let content = self.suspected_fingerprint();
@@ -315,7 +339,11 @@
         let body = self.body.whole()?;
         let host = self.head.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
         let target = self.head.target.path_and_query().map_or("", |target| target.as_str());
-        Some(Fingerprint::new(self.head.method.as_str(), host, target, body))
+        let method = self.head.method.as_str();
+        Some(match &self.identity.account {
+            Some(account) => Fingerprint::of_account(&account.name.0, method, host, target, body),
+            None => Fingerprint::new(method, host, target, body),
+        })
     }
 
     /// Whether the request may be sent again after a failure.
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards a request to another entry VM, while this one reaches no backend server.
 //!
-//! To the other VM the request is one of a caller, except that it doesn't forward it further and
-//! doesn't count it for its budgets, which this VM has done. What the other VM responds is the
+//! To the other VM the request is one of a caller, except that it doesn't forward it further: it
+//! authenticates the request and counts it for its budgets. What the other VM responds is the
 //! response here: a backend server's own, or a refusal with the same promise.
 
 use std::net::SocketAddr;
@@ -24,7 +24,8 @@
 use crate::hosted::refusal::{DEFAULT_RETRY_DELAY, HostedRefusal};
 use crate::pool::{BackendConnection, ReusePolicy};
 
-/// Marks a request that another entry VM has forwarded.
+/// Marks a request that another entry VM has forwarded. Callers may send it too, so it grants
+/// nothing: the request is only not forwarded again.
 pub(crate) const FORWARDED_HEADER: HeaderName = HeaderName::from_static("mustardrail-forwarded");
 
 /// Other VMs to which a request is offered until one accepts the connection.
@@ -50,6 +51,7 @@
 
     /// Forwards the request to another VM and returns what that responds.
     pub(crate) async fn forward(&mut self) -> Result<ServerResponse, HostedRefusal> {
+        self.check_config()?;
         self.metrics.forwarded_requests.inc();
         for helper in self.helpers.choose(&self.board.helpers(), MAX_HELPERS) {
             let _lease = self.helpers.lease(helper);
@@ -89,6 +91,7 @@
     fn forwarded_request(&mut self) -> Request<BackendRequestBody> {
         let mut request = self.request_for_attempt();
         set_deadline(self.wire, self.deadline, request.headers_mut());
+        self.identity.set_key(&self.wire.headers.account, request.headers_mut());
         request.headers_mut().insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
         request
     }
@@ -134,7 +137,7 @@
 fn refusal_of_helper(wire: &WireInterface, status: u16, headers: &HeaderMap) -> HostedRefusal {
     match status {
         // Its own responses with these statuses are sent before the request is.
-        400 | 404 | 413 => HostedRefusal::NoServer,
+        400 | 401 | 404 | 413 => HostedRefusal::NoServer,
         504 => HostedRefusal::DeadlineAfterSend,
         _ if PROMISE_STATUSES.contains(&status) => {
             let retry_delay = (wire.read_notice)(status, headers).rest;
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use tokio::time::{Instant, timeout_at};
 
@@ -25,6 +25,7 @@
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
+use crate::hosted::identity::CallerIdentity;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::route_stats::RouteStatsTable;
 use crate::hosted::service::HostedServices;
@@ -126,9 +127,9 @@
         let table = self.board.wait_for_routes(STARTUP_CONFIG_TIMEOUT).await;
         summary.progress.config_version = table.as_ref().map(|table| table.version);
         let result = match find_route(table.as_deref(), &request) {
-            Ok((table, route)) => {
+            Ok((table, route, host)) => {
                 summary.route = Some(route);
-                self.forward(table, route, request, incoming, &mut summary.progress).await
+                self.forward(table, route, host, request, incoming, &mut summary.progress).await
             }
             Err(refusal) => Err(refusal),
         };
@@ -150,6 +151,7 @@
         &self,
         table: &RouteTable,
         route: &HostedRoute,
+        host: Box<str>,
         request: Request<()>,
         incoming: Incoming,
         progress: &mut DispatchProgress,
@@ -159,14 +161,16 @@
         let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
             return Err(HostedRefusal::Malformed("it has no request id"));
         };
+        let identity = CallerIdentity::authenticate(table, route, request.headers())?;
+        progress.account = identity.account.clone();
         let requested_time =
             read_millis(request.headers(), &names.deadline_ms).unwrap_or(route.timeout);
         let time_before_attempt = self.route_stats.time_before_attempt(route, requested_time);
         let deadline = now + requested_time.min(route.timeout);
         let service = self.services.get_or_create(&self.route_stats.next_service(route));
         let is_forwarded = request.headers().contains_key(FORWARDED_HEADER);
-        if !is_forwarded {
-            // The VM that forwarded it has counted it.
+        if is_forwarded || !service.access.is_lost() {
+            // Without access to servers, the VM that it is forwarded to counts it.
             service.budget().record_request(now);
         }
         progress.service = Some(service.name.clone());
@@ -193,7 +197,9 @@
             is_forwarded,
             health_path,
             request_id,
-            head: forwarded_head(request)?,
+            head: self.forwarded_head(request, route, &identity)?,
+            identity,
+            host,
             body,
             fingerprint: OnceLock::new(),
             shape,
@@ -215,6 +221,34 @@
         result
     }
 
+    /// Returns the head of a request as backend servers receive it.
+    fn forwarded_head(
+        &self,
+        request: Request<()>,
+        route: &HostedRoute,
+        identity: &CallerIdentity,
+    ) -> Result<RequestHead, HostedRefusal> {
+        let (parts, ()) = request.into_parts();
+        let mut headers = parts.headers;
+        let names = &self.wire.headers;
+        let kept = [&HOST, &names.request_id].map(|name| (name, headers.get(name).cloned()));
+        remove_hop_by_hop(&mut headers);
+        // `Connection` names only fields that are for this VM.
+        for (name, value) in kept {
+            if let Some(value) = value {
+                headers.insert(name, value);
+            }
+        }
+        headers.remove("expect");
+        headers.remove(FORWARDED_HEADER);
+        identity.set_headers(&names.account, route, &mut headers)?;
+        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+        let target = target
+            .parse()
+            .map_err(|_| HostedRefusal::Malformed("its target can't be forwarded"))?;
+        Ok(RequestHead { method: parts.method, target, headers })
+    }
+
     /// Reads the request body, and buffers it as a whole if it is small enough.
     async fn read_body(
         &self,
@@ -255,6 +289,7 @@
         let fields = o!("id" => id.to_owned(), "route" => route.to_owned(),
             "service" => service.to_owned(), "config" => config_version,
             "sends" => progress.attempts,
+            "account" => progress.account.as_ref().map(|account| account.name.to_string()),
             "expected_ms" => progress.expected_time.as_millis() as u64, "ms" => millis);
         match result {
             Ok(response) => info!(self.log, "request: answered"; fields,
@@ -303,26 +338,14 @@
 fn find_route<'a>(
     table: Option<&'a RouteTable>,
     request: &Request<()>,
-) -> Result<(&'a RouteTable, &'a HostedRoute), HostedRefusal> {
+) -> Result<(&'a RouteTable, &'a HostedRoute, Box<str>), HostedRefusal> {
     let Some(table) = table else {
         return Err(HostedRefusal::NoConfig);
     };
     let host = read_host(request).map_err(HostedRefusal::Malformed)?;
     check_forwardable(request).map_err(HostedRefusal::Malformed)?;
     let route = table.find_route(&host, request.uri().path()).ok_or(HostedRefusal::NoRoute)?;
-    Ok((table, route))
-}
-
-fn forwarded_head(request: Request<()>) -> Result<RequestHead, HostedRefusal> {
-    let (parts, ()) = request.into_parts();
-    let mut headers = parts.headers;
-    remove_hop_by_hop(&mut headers);
-    headers.remove("expect");
-    headers.remove(FORWARDED_HEADER);
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
-    let target =
-        target.parse().map_err(|_| HostedRefusal::Malformed("its target can't be forwarded"))?;
-    Ok(RequestHead { method: parts.method, target, headers })
+    Ok((table, route, host))
 }
 
 fn read_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -1,7 +1,7 @@
 //! The request path of an entry VM on a hosting platform. Routes and servers come from the
 //! platform, servers are selected by recent load reports, and nothing is stored on the VM.
 //!
-//! `listener` reads a request, `handler` finds its route, `dispatch` decides how often and when it
+//! `listener` reads a request, `handler` finds its route, `identity` its client account, `dispatch` decides how often and when it
 //! is sent, `selection` selects a server, `attempt` sends it once, and `refusal` builds the
 //! response if there is none from a server. `service` holds the state of each service,
 //! `route_stats` that of each route.
@@ -13,6 +13,7 @@
 mod forward;
 mod handler;
 mod helpers;
+mod identity;
 mod listener;
 mod refusal;
 mod requested_times;
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 
 use crate::body::CallerResponseBody;
+use crate::hosted::identity::KEY_SCHEME;
 
 /// Reason why a request got no response from a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Display)]
@@ -21,6 +22,13 @@
     /// No route matches the host and path.
     #[display("no route for this host and path")]
     NoRoute,
+    /// The route needs a key of a client account.
+    #[display("no known key")]
+    Unauthorized,
+    /// The configuration changed while the request was queued, and its key belongs to another
+    /// client account now, or keys have become needed.
+    #[display("client account changed while the request was queued")]
+    AccountChanged,
     #[display("body is larger than allowed")]
     BodyTooLarge,
     /// The body did not arrive in time, or the caller's connection broke. Nothing was sent.
@@ -63,9 +71,11 @@
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig
+            | Self::AccountChanged
             | Self::NoServer
             | Self::Saturated(_)
             | Self::Shed(_)
@@ -79,7 +89,9 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Saturated(delay) | Self::Shed(delay) | Self::Quarantined(delay) => Some(delay),
-            Self::NoConfig | Self::NoServer | Self::DeadlineBeforeSend => Some(DEFAULT_RETRY_DELAY),
+            Self::NoConfig | Self::AccountChanged | Self::NoServer | Self::DeadlineBeforeSend => {
+                Some(DEFAULT_RETRY_DELAY)
+            }
             _ => None,
         }
     }
@@ -92,6 +104,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self == Self::Unauthorized {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(KEY_SCHEME));
+        }
         if let Some(delay) = self.retry_after() {
             // Callers on the hosting platform accept fractions of a second.
             let seconds = format!("{:.3}", delay.as_secs_f64());
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -9,7 +9,7 @@
 /// Bytes of a fingerprint.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Hash of what a backend server runs: method, host, target and body. Repeats of a request share it,
+/// Hash of what a backend server runs: client account, method, host, target and body. Repeats of a request share it,
 /// whoever sends them. Client accounts don't trust one another, so it is a cryptographic hash.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
@@ -25,10 +25,20 @@
 }
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request.
+    /// Returns the fingerprint of a request without a client account.
     pub fn new(method: &str, host: &[u8], target: &str, body: &[u8]) -> Self {
+        Self::of_parts(&[method.as_bytes(), host, target.as_bytes(), body])
+    }
+
+    /// Returns the fingerprint of a request of a client account, whose name servers see.
+    pub fn of_account(account: &str, method: &str, host: &[u8], target: &str, body: &[u8]) -> Self {
+        let parts = [method.as_bytes(), host, target.as_bytes(), body, account.as_bytes()];
+        Self::of_parts(&parts)
+    }
+
+    fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
-        for part in [method.as_bytes(), host, target.as_bytes(), body] {
+        for part in parts {
             // The lengths keep two different requests from having the same sequence of bytes.
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
--- a/components/records/src/access.rs
+++ b/components/records/src/access.rs
@@ -1,10 +1,8 @@
 //! Access control for records.
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
 
-use model::{AccountId, OperatorKeyScope, RecordKey, RecordKind};
+use model::{AccountId, OperatorKeyScope, RecordKey, RecordKind, hash_key_bytes};
 
 /// Account and scope of an operator key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,13 +15,11 @@
 
 /// Returns the SHA-256 hash of a key as 64 hexadecimal digits.
 pub fn hash_key(key: &str) -> Box<str> {
-    let digest = Sha256::digest(key.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
-}
-
-/// Compares two hashes in constant time.
-pub fn hashes_match(left: &str, right: &str) -> bool {
-    left.as_bytes().ct_eq(right.as_bytes()).into()
+    hash_key_bytes(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect::<String>()
+        .into()
 }
 
 /// Whether an operator may read the records of an account.
--- a/components/records/src/lib.rs
+++ b/components/records/src/lib.rs
@@ -10,7 +10,7 @@
 mod rows;
 mod snapshot;
 
-pub use access::{OperatorIdentity, hash_key, hashes_match, may_read, may_write};
+pub use access::{OperatorIdentity, hash_key, may_read, may_write};
 pub use admit::{WriteRefusal, admit_write};
 pub use change::{ChangeEntry, RecordChange, WriteRequest, WriteVerb};
 pub use routing::{AccountConfig, ResolvedRoute, RoutingTable, ServiceConfig, ServiceKey};
--- a/components/records/src/routing.rs
+++ b/components/records/src/routing.rs
@@ -6,10 +6,10 @@
 
 use model::{
     AccountId, AccountSpec, FastMap, FieldFault, OperatorKeyScope, RecordName, RecordSpec,
-    RevisionNumber, RouteRule, SchemaVersion, ServiceSpec,
+    RevisionNumber, RouteRule, SchemaVersion, ServiceSpec, hashes_match,
 };
 
-use crate::access::{OperatorIdentity, hash_key, hashes_match};
+use crate::access::{OperatorIdentity, hash_key};
 use crate::snapshot::{ConfigSnapshot, StoredRecord};
 
 /// Fleet-wide identity of a service.
@@ -104,7 +104,7 @@
         let hash = hash_key(key);
         let mut found = None;
         for (stored_hash, operator) in &self.operator_keys {
-            if hashes_match(stored_hash, &hash) {
+            if hashes_match(stored_hash.as_bytes(), hash.as_bytes()) {
                 found = Some(operator.clone());
             }
         }
--- a/components/routes/src/interface.rs
+++ b/components/routes/src/interface.rs
@@ -20,6 +20,8 @@
     pub expected_server: HeaderName,
     /// Identity of the backend server that sent a response.
     pub responding_server: HeaderName,
+    /// Name of the client account whose key a request carries, for backend servers.
+    pub account: HeaderName,
 }
 
 /// HTTP conventions of one hosting platform: names of header fields and functions that read
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -9,7 +9,9 @@
 mod server;
 mod table;
 
-pub use accounts::{AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash};
+pub use accounts::{
+    AccountEntry, AccountError, AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash,
+};
 pub use interface::{HeaderNames, WireInterface};
 pub use registry::ServerRegistry;
 pub use server::{ServerChange, ServerRecord};
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::{Instant, sleep};
 
-pub use config::{hosted_config, hosted_route, standard_routes};
+pub use config::{account_entry, hosted_config, hosted_route, standard_routes};
 pub use daemon::HostedDaemon;
 pub use fleet::{HostedFleet, hosted_request, request_id};
 pub use raw_server::{RawConnection, RawRequest, RawServer, load_header, not_run_header};
--- a/components/testkit/src/hosted/config.rs
+++ b/components/testkit/src/hosted/config.rs
@@ -4,8 +4,8 @@
 
 use model::RevisionNumber;
 use routes::{
-    CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, ServiceInfo, ServiceName,
-    WeightedService,
+    AccountEntry, AccountName, CallerLimits, ClientAccount, ExecutionSemantics, HostedRoute,
+    RouteTable, ServiceInfo, ServiceName, WeightedService,
 };
 
 use crate::hosted::{HEALTH_PATH, HOSTED_HOST};
@@ -53,6 +53,12 @@
     table
 }
 
+/// Returns a client account without a priority and a quota.
+pub fn account_entry(name: &str, keys: &[&str]) -> AccountEntry {
+    let account = ClientAccount { name: AccountName(name.into()), priority: None, quota: None };
+    AccountEntry { account, keys: keys.iter().map(|key| (*key).into()).collect() }
+}
+
 /// Returns the routes of a standard fleet: `/read/` is idempotent, and requests to `/order/` run at
 /// most once.
 pub fn standard_routes() -> Vec<HostedRoute> {
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
@@ -72,6 +72,8 @@
     pub target: Box<str>,
     /// The body.
     pub body: Bytes,
+    /// The header fields.
+    pub headers: HeaderMap,
     /// Time left until the deadline, in milliseconds.
     pub deadline_ms: u64,
     /// When the run started.
@@ -408,6 +410,7 @@
             target: format!("{} {}", head.method, head.uri).into(),
             body,
             deadline_ms: text(&names.deadline_ms).parse().unwrap_or(0),
+            headers: head.headers,
             started_at: Instant::now(),
             is_cancelled: false,
         };
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -19,7 +19,7 @@
     RowRange, StoreRequest, TableName, TableRow, VersionedRows, encode_config_row, encode_names,
     encode_rows, encode_server_row, group_service_name, parse_store_request, write_era_header,
 };
-use routes::{RouteTable, ServerRecord};
+use routes::{AccountEntry, RouteTable, ServerRecord};
 use store::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, ServerEntry, ServerState};
 
 use crate::web::{WebBody, WebServer, never};
@@ -201,7 +201,12 @@
 
     /// Writes the operator's configuration.
     pub fn put_config(&self, table: &RouteTable) {
-        self.state.put_row(TableName::Operator, encode_config_row(table));
+        self.state.put_row(TableName::Operator, encode_config_row(table, None));
+    }
+
+    /// Writes the operator's configuration with client accounts.
+    pub fn put_config_with_accounts(&self, table: &RouteTable, accounts: &[AccountEntry]) {
+        self.state.put_row(TableName::Operator, encode_config_row(table, Some(accounts)));
     }
 
     /// Returns a copy of the operator and server tables.
