Keep the requests of all entry VMs to a cold backend server within its bound

Cause: a server that has just started looks idle to every VM and tolerates only a few requests per second from all of them; nothing read how servers warm up.

Change: the warm-up of a service (configuration), of a server (entry, response header) and the agreed bound (settings) are read. A cold server has a limit that is divided by the turns that divide named limits already. A server of unknown warmth is probed first, also as the only candidate. A turn is checked again right before the request is written.

--- a/components/balance/benches/place.rs
+++ b/components/balance/benches/place.rs
@@ -26,6 +26,7 @@
             zone: if number % 3 == 0 { "zone-a" } else { "zone-b" }.parse().expect("a valid name"),
             slots: 2,
             is_leaving: false,
+            warm_up: None,
         })
         .collect();
     group.set_servers(&listed);
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -10,10 +10,13 @@
 
 use model::{FastMap, ProbeRate, RequestRate, ServerId, ZoneName};
 
+use crate::placement::cold::{ColdLimits, WarmUpResponse, Warmth};
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
 use crate::placement::notices::{FirstReturn, LeavingServers, NoticeEffect, ServerNotice};
 use crate::placement::persistence::decayed;
-use crate::placement::server::{PlacementServer, ServerIncarnation, ServerLoad, ServerState};
+use crate::placement::server::{
+    PlacementServer, SendRules, ServerIncarnation, ServerLoad, ServerState,
+};
 use crate::placement::turns::{NamedLimit, SendTurns, check_interval};
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
@@ -122,8 +125,12 @@
     checks_without_report: u32,
     /// Servers that said that they leave.
     leaving: LeavingServers,
-    /// This entry VM's turns at servers that name a limit; `None` if it shares no limit.
+    /// This entry VM's turns at servers that have a limit; `None` if it shares no limit.
     turns: Option<SendTurns>,
+    /// `None` if cold servers have no limit.
+    cold_limits: Option<ColdLimits>,
+    /// Time until which some server is cold, as far as it is known.
+    any_cold_until: Option<Instant>,
 }
 
 impl PlacementGroup {
@@ -142,15 +149,67 @@
             checks_without_report: 0,
             leaving: LeavingServers::default(),
             turns: None,
+            cold_limits: None,
+            any_cold_until: None,
         }
     }
 
-    /// Sets this entry VM's turns at servers that name a limit. Without turns, it uses all of a
+    /// Sets this entry VM's turns at servers that have a limit. Without turns, it uses all of a
     /// limit.
     pub fn set_turns(&mut self, turns: SendTurns) {
         self.turns = Some(turns);
     }
 
+    /// Sets the limits of cold servers; `None` if they have none.
+    pub fn set_cold_limits(&mut self, limits: Option<ColdLimits>) {
+        self.cold_limits = limits;
+    }
+
+    /// Records what a server's own response says about its warm-up.
+    pub fn record_warm_up(&mut self, ticket: ServerTicket, response: WarmUpResponse, now: Instant) {
+        if let Some(state) = self.state_mut(ticket) {
+            state.warm_up.record_response(response, now);
+            let cold_until = state.warm_up.cold_until();
+            self.any_cold_until = self.any_cold_until.max(cold_until);
+        }
+    }
+
+    /// Records that the servers of a zone may be cold until `until`, unless their own responses to
+    /// later requests show otherwise.
+    pub fn mark_cold(&mut self, zone: &ZoneName, until: Instant, now: Instant) {
+        let in_zone = |state: &&mut ServerState| state.listed.zone == *zone;
+        let states = self.servers.iter_mut().map(|(_, state)| state);
+        states.filter(in_zone).for_each(|state| state.warm_up.suspect(until, now));
+    }
+
+    /// Returns the number of servers that are cold.
+    pub fn cold_servers(&self, now: Instant) -> usize {
+        if self.any_cold_until.is_none_or(|until| until <= now) {
+            return 0;
+        }
+        let rules = self.send_rules();
+        let states = self.servers.iter().map(|(_, state)| state);
+        states.filter(|state| rules.warmth(state, now) == Warmth::Cold).count()
+    }
+
+    /// Whether a probe should show whether a server is cold before it gets a request.
+    pub fn may_be_cold(&self, ticket: ServerTicket, now: Instant) -> bool {
+        let rules = self.send_rules();
+        self.state(ticket).is_some_and(|state| rules.warmth(state, now) == Warmth::Unknown)
+    }
+
+    /// Whether a request for which `record_sent` was called at `taken_at` may be sent now: the
+    /// server isn't cold, or the turn that was taken isn't over.
+    pub fn holds_turn(&self, ticket: ServerTicket, taken_at: Instant, now: Instant) -> bool {
+        let rules = self.send_rules();
+        self.state(ticket).is_some_and(|state| state.holds_turn(taken_at, &rules, now))
+    }
+
+    fn send_rules(&self) -> SendRules<'_> {
+        let asks_probes = self.is_worth_probing();
+        SendRules::new(self.turns.as_ref(), self.cold_limits.as_ref(), asks_probes)
+    }
+
     /// Records the limit that a response named, or that it named none. Returns whether the server's
     /// limit changed.
     pub fn record_limit(
@@ -163,14 +222,10 @@
             return false;
         };
         match (named.rate, &mut state.limit) {
-            (Some(rate), Some(limit)) => {
-                let has_changed = rate != limit.rate;
-                limit.rate = rate;
-                limit.is_named_by_probes |= named.is_probe;
-                has_changed
-            }
+            (Some(rate), Some(limit)) => limit.update(rate, named.is_probe),
             (Some(rate), None) => {
-                state.limit = Some(NamedLimit::new(&state.listed.id, rate, named.is_probe, now));
+                state.limit = Some(NamedLimit::new(rate, named.is_probe, now));
+                state.gate.record_limited(now);
                 true
             }
             (None, Some(limit)) if limit.is_ended_by(named) => {
@@ -197,8 +252,8 @@
 
     /// Records that a request is being sent to a server, which counts against its limit.
     pub fn record_sent(&mut self, ticket: ServerTicket, now: Instant) {
-        if let Some(limit) = self.state_mut(ticket).and_then(|state| state.limit.as_mut()) {
-            limit.record_sent(now);
+        if let Some(state) = self.state_mut(ticket) {
+            state.record_sent(now);
         }
     }
 
@@ -232,10 +287,8 @@
 
     /// Returns when the first server accepts a request again; `None` if all are leaving.
     pub fn first_return(&self, now: Instant) -> Option<FirstReturn> {
-        let returns = self
-            .servers
-            .iter()
-            .filter_map(|(_, state)| state.next_request(self.turns.as_ref(), now));
+        let rules = self.send_rules();
+        let returns = self.servers.iter().filter_map(|(_, state)| state.next_request(&rules, now));
         returns.min_by_key(|first| first.at)
     }
 
@@ -278,6 +331,7 @@
                 (self.next_serial, state)
             });
             self.next_serial = self.next_serial.max(serial + 1);
+            self.any_cold_until = self.any_cold_until.max(state.warm_up.cold_until());
             self.servers.push((serial, state));
         }
         self.select_preferred();
@@ -339,16 +393,19 @@
     ) -> Vec<ServerTicket> {
         let total = self.servers.len();
         let compared = total.min(MAX_CANDIDATES);
-        let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared);
-        for offset in 0..compared {
+        let rules = self.send_rules();
+        let open_cold = self.open_cold_servers(&rules, now);
+        let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared + open_cold.len());
+        for offset in 0..compared + open_cold.len() {
             let index = match (total <= MAX_CANDIDATES, self.preferred.get(offset)) {
+                _ if offset >= compared => open_cold[offset - compared],
                 (true, _) => offset,
                 (false, Some(preferred)) => *preferred,
                 (false, None) => random.random_range(0..total),
             };
             let (serial, state) = &self.servers[index];
             let ticket = ServerTicket { index, serial: *serial };
-            let is_skipped = !state.accepts_request(self.turns.as_ref(), now)
+            let is_skipped = !state.may_accept_request(&rules, now)
                 || excluded.contains(&ticket)
                 || !is_eligible(state);
             if is_skipped || costs.iter().any(|(_, other)| *other == ticket) {
@@ -359,9 +416,28 @@
             costs.push((cost * (1.0 + CANDIDATE_COST_NOISE * random.random::<f64>()), ticket));
         }
         costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        if self.is_saturated()
+            && let Some(best_cold) =
+                costs.iter().position(|(_, ticket)| open_cold.contains(&ticket.index))
+        {
+            // What a cold server tolerates is known to be free, and few VMs may use it now.
+            costs[..=best_cold].rotate_right(1);
+        }
         costs.into_iter().take(count).map(|(_, ticket)| ticket).collect()
     }
 
+    /// Returns the indexes of cold servers at which this entry VM has its turn.
+    fn open_cold_servers(&self, rules: &SendRules<'_>, now: Instant) -> Vec<usize> {
+        if self.any_cold_until.is_none_or(|until| until <= now) {
+            return Vec::new();
+        }
+        let is_open = |state: &ServerState| {
+            rules.warmth(state, now) == Warmth::Cold && state.accepts_request(rules, now)
+        };
+        let servers = self.servers.iter().enumerate();
+        servers.filter(|(_, (_, state))| is_open(state)).map(|(index, _)| index).collect()
+    }
+
     /// Extra cost of a server in the choice of candidates, in typical service times.
     fn candidate_cost_ratio(&self, state: &ServerState) -> f64 {
         let preferred_ratio = if state.is_preferred { 0.0 } else { NON_PREFERRED_COST_RATIO };
@@ -376,12 +452,12 @@
         shape: RequestShape,
         now: Instant,
     ) -> Option<(ServerTicket, PlacementEstimate)> {
+        let rules = self.send_rules();
         tickets
             .iter()
             .filter_map(|ticket| {
-                let state = self
-                    .state(*ticket)
-                    .filter(|state| state.accepts_request(self.turns.as_ref(), now))?;
+                let state =
+                    self.state(*ticket).filter(|state| state.accepts_request(&rules, now))?;
                 Some((*ticket, self.estimate_state(state, shape, now)))
             })
             .min_by(|(_, one), (_, other)| one.cost_seconds.total_cmp(&other.cost_seconds))
@@ -498,9 +574,14 @@
     pub fn record_outcome(&mut self, ticket: ServerTicket, outcome: SampleOutcome, now: Instant) {
         let is_failure = matches!(outcome, SampleOutcome::Failed | SampleOutcome::Unreachable);
         let is_ejection_allowed = is_failure && self.is_ejection_allowed(now);
+        let cold_duration = self.cold_limits.map(|limits| limits.duration);
         let Some(state) = self.state_mut(ticket) else {
             return;
         };
+        if let (SampleOutcome::Unreachable, Some(duration)) = (outcome, cold_duration) {
+            // It may have been restarted, under the same identity.
+            state.warm_up.suspect(now + duration, now);
+        }
         match outcome {
             SampleOutcome::Responded => state.failures.record_success(),
             SampleOutcome::Failed => state.failures.record_failure(false, is_ejection_allowed, now),
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! sent, and the request goes to the server with the shortest expected response time.
 
 mod admission;
+mod cold;
 mod estimate;
 mod group;
 mod load_curve;
@@ -21,6 +22,7 @@
     RequestTimes, admit, hedge_delay, limited_retry_delay, long_retry_delay, queue_poll_interval,
     short_retry_delay,
 };
+pub use cold::{ColdBound, ColdLimits, ListedWarmUp, WarmUpResponse};
 pub use estimate::{PlacementEstimate, RequestShape};
 pub use group::{LimitResponse, PlacementGroup, PlacementOptions, StartedRequest};
 pub use load_curve::LoadCurve;
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -5,11 +5,12 @@
 
 use tokio::time::Instant;
 
-use model::{ServerId, ZoneName};
+use model::{RequestRate, ServerId, ZoneName};
 
 use crate::eject::FailureHistory;
+use crate::placement::cold::{ColdLimits, ListedWarmUp, WarmUpState, Warmth};
 use crate::placement::notices::FirstReturn;
-use crate::placement::turns::{NamedLimit, SendTurns};
+use crate::placement::turns::{NamedLimit, SendGate, SendTurns};
 
 /// Weight of the newest report in the moving average of a server's slowness.
 const NEWEST_REPORT_WEIGHT: f64 = 0.1;
@@ -43,6 +44,8 @@
     pub slots: u32,
     /// Whether it is leaving and accepts no new requests.
     pub is_leaving: bool,
+    /// Remaining warm-up by the entry; `None` if the server isn't cold by it.
+    pub warm_up: Option<ListedWarmUp>,
 }
 
 /// One incarnation of a server.
@@ -89,6 +92,38 @@
     pub(crate) received_at: Instant,
 }
 
+/// What decides when servers that have a limit may get a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SendRules<'a> {
+    /// This entry VM's turns; `None` if it shares no limit.
+    pub(crate) turns: Option<&'a SendTurns>,
+    /// Rate at which all entry VMs together send requests to a cold server; `None` if there is no
+    /// limit for cold servers.
+    pub(crate) cold_rate: Option<RequestRate>,
+    /// Whether probes tell whether servers are warm.
+    pub(crate) asks_probes: bool,
+}
+
+impl<'a> SendRules<'a> {
+    pub(crate) fn new(
+        turns: Option<&'a SendTurns>,
+        cold_limits: Option<&ColdLimits>,
+        asks_probes: bool,
+    ) -> Self {
+        let cold_rate = cold_limits.map(|limits| limits.divided_rate(turns));
+        Self { turns, cold_rate, asks_probes }
+    }
+
+    /// Whether a server may be sent requests without regard to its warm-up; always without a limit
+    /// for cold servers.
+    pub(crate) fn warmth(&self, server: &ServerState, now: Instant) -> Warmth {
+        match self.cold_rate {
+            Some(_) => server.warm_up.warmth(self.asks_probes, now),
+            None => Warmth::Warm,
+        }
+    }
+}
+
 /// State of one server.
 #[derive(Debug)]
 pub(crate) struct ServerState {
@@ -101,6 +136,8 @@
     pub(crate) failures: FailureHistory,
     /// Limit named by the last response.
     pub(crate) limit: Option<NamedLimit>,
+    pub(crate) warm_up: WarmUpState,
+    pub(crate) gate: SendGate,
     /// Whether this incarnation said that it leaves.
     pub(crate) said_leaving: bool,
     /// Time until which the server wants no requests.
@@ -111,23 +148,83 @@
 
 impl ServerState {
     pub(crate) fn new(listed: PlacementServer, typical_slowness: f64) -> Self {
+        let mut warm_up = WarmUpState::default();
+        warm_up.record_entry(listed.warm_up);
         Self {
+            gate: SendGate::new(&listed.id),
             listed,
             started_at: Vec::new(),
             report: None,
             typical_slowness,
             failures: FailureHistory::new(),
             limit: None,
+            warm_up,
             said_leaving: false,
             rest_until: None,
             is_preferred: true,
         }
     }
 
-    /// Whether the server may get a new request, by its list entry and what it said itself.
-    pub(crate) fn accepts_request(&self, turns: Option<&SendTurns>, now: Instant) -> bool {
-        !self.is_withdrawn(now)
-            && self.limit.as_ref().is_none_or(|limit| limit.wait(turns, now).is_zero())
+    /// Whether the server may get a new request, by its list entry, what it said itself and its
+    /// limits.
+    pub(crate) fn accepts_request(&self, rules: &SendRules<'_>, now: Instant) -> bool {
+        !self.is_withdrawn(now) && self.limit_wait(rules, now).is_zero()
+    }
+
+    /// Whether the server may get a new request if a probe shows that it isn't cold.
+    pub(crate) fn may_accept_request(&self, rules: &SendRules<'_>, now: Instant) -> bool {
+        if self.is_withdrawn(now) {
+            return false;
+        }
+        match rules.warmth(self, now) {
+            Warmth::Unknown => self.named_wait(rules, now).is_zero(),
+            Warmth::Warm | Warmth::Cold => self.limit_wait(rules, now).is_zero(),
+        }
+    }
+
+    /// Whether a request for which `record_sent` was called at `taken_at` may be sent now.
+    pub(crate) fn holds_turn(
+        &self,
+        taken_at: Instant,
+        rules: &SendRules<'_>,
+        now: Instant,
+    ) -> bool {
+        let is_cold = rules.warmth(self, now) != Warmth::Warm;
+        let cold_rate = rules.cold_rate.filter(|_| is_cold);
+        cold_rate.is_none_or(|rate| {
+            let rate = self.lowest_rate(Some(rate)).unwrap_or(rate);
+            self.gate.holds(taken_at, rate, rules.turns, now)
+        })
+    }
+
+    /// Records that a request is being sent.
+    pub(crate) fn record_sent(&mut self, now: Instant) {
+        self.gate.record_sent(now);
+    }
+
+    /// Returns how long to wait until the limits of the server allow a request.
+    fn limit_wait(&self, rules: &SendRules<'_>, now: Instant) -> Duration {
+        let is_cold = rules.warmth(self, now) != Warmth::Warm;
+        self.wait_at(self.lowest_rate(rules.cold_rate.filter(|_| is_cold)), rules, now)
+    }
+
+    /// Returns how long to wait until the limit that the server named allows a request.
+    fn named_wait(&self, rules: &SendRules<'_>, now: Instant) -> Duration {
+        self.wait_at(self.lowest_rate(None), rules, now)
+    }
+
+    fn wait_at(&self, rate: Option<RequestRate>, rules: &SendRules<'_>, now: Instant) -> Duration {
+        rate.map_or(Duration::ZERO, |rate| self.gate.wait(rate, rules.turns, now))
+    }
+
+    /// Returns the lower one of a rate and the limit that the server named; `None` if there is
+    /// neither.
+    fn lowest_rate(&self, rate: Option<RequestRate>) -> Option<RequestRate> {
+        let named = self.limit.as_ref().map(NamedLimit::divided_rate);
+        match (named, rate) {
+            (Some(named), Some(rate)) if named.0 > rate.0 => Some(rate),
+            (named, rate) => named.or(rate),
+        }
     }
 
     /// Whether the server wants neither requests nor probes now.
@@ -154,15 +251,19 @@
     }
 
     /// Returns when the server accepts a request again; `None` if it leaves.
-    pub(crate) fn next_request(
-        &self,
-        turns: Option<&SendTurns>,
-        now: Instant,
-    ) -> Option<FirstReturn> {
+    pub(crate) fn next_request(&self, rules: &SendRules<'_>, now: Instant) -> Option<FirstReturn> {
         if self.is_leaving() {
             return None;
         }
-        let limited_until = now + self.limit.map_or(Duration::ZERO, |limit| limit.wait(turns, now));
+        let named_until = now + self.named_wait(rules, now);
+        let limited_until = match rules.warmth(self, now) {
+            Warmth::Warm | Warmth::Unknown => named_until,
+            Warmth::Cold => {
+                let turn_at = now + self.limit_wait(rules, now);
+                let warm_at = self.warm_up.cold_until().unwrap_or(turn_at);
+                turn_at.min(warm_at).max(named_until)
+            }
+        };
         let rest_until = self.rest_until.unwrap_or(now);
         let is_resting = rest_until > limited_until;
         Some(FirstReturn { at: rest_until.max(limited_until), is_resting })
@@ -173,6 +274,7 @@
         if self.listed.key() != listed.key() {
             return false;
         }
+        self.warm_up.record_entry(listed.warm_up);
         self.listed = listed.clone();
         true
     }
--- a/components/balance/tests/learning.rs
+++ b/components/balance/tests/learning.rs
@@ -113,6 +113,7 @@
             zone: "a".parse().expect("the name is valid"),
             slots: 3,
             is_leaving: false,
+            warm_up: None,
         })
         .collect();
     group.set_servers(&listed);
--- a/components/balance/tests/limits.rs
+++ b/components/balance/tests/limits.rs
@@ -45,6 +45,7 @@
         zone,
         slots: 2,
         is_leaving: false,
+        warm_up: None,
     }]);
     group
 }
--- a/components/balance/tests/notices.rs
+++ b/components/balance/tests/notices.rs
@@ -27,6 +27,7 @@
         zone: "zone-a".parse().expect("the name is valid"),
         slots: 2,
         is_leaving: false,
+        warm_up: None,
     }
 }
 
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -37,6 +37,7 @@
         zone: zone.parse().unwrap(),
         slots: 2,
         is_leaving: false,
+        warm_up: None,
     }
 }
 
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -126,6 +126,9 @@
         if !self.board.set_routes(table) {
             return;
         }
+        if let Some(table) = self.board.routes() {
+            self.services.set_warm_ups(&table.services);
+        }
         self.metrics.config_version.set(version.0 as i64);
         info!(self.log, "config: in force"; "version" => version.0, "routes" => routes,
             "source" => %source.name, "confirmed_ago_ms" => source.confirmed_ago_ms());
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, interval, sleep, timeout};
 
-use balance::{PlacementOptions, SendTurns};
+use balance::{ColdBound, PlacementOptions, SendTurns};
 use board::HostedBoard;
 use limits::{AttemptLimits, slack_share};
 use observe::{BatchedLogger, FLUSH_INTERVAL, HostedMetrics, Logger, info, slog_level, warn};
@@ -278,7 +278,9 @@
     };
     let turns = SendTurns::unassigned(settings.relays.len(), rand::random(), Instant::now());
     let (board, metrics) = (Arc::clone(board), metrics.clone());
+    let bound = settings.cold_servers.map(|cold| ColdBound { over: cold.over, slack: cold.slack });
     HostedServices::new(placement, attempt_limits(settings), turns, board, metrics, log.clone())
+        .with_cold_bound(bound)
 }
 
 fn attempt_limits(settings: &HostedSettings) -> AttemptLimits {
--- a/components/lab/src/vm.rs
+++ b/components/lab/src/vm.rs
@@ -110,5 +110,6 @@
         zone: "zone-a".parse().expect("the name is valid"),
         slots: scenario.slots,
         is_leaving: false,
+        warm_up: None,
     }
 }
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -68,6 +68,9 @@
     /// The server said that it leaves, or wants no requests, after it was selected.
     #[display("withdrawn")]
     Withdrawn,
+    /// The server is cold, and this VM's turn there ended before the request could be sent.
+    #[display("missed-turn")]
+    MissedTurn,
 }
 
 impl NotRunReason {
@@ -134,8 +137,8 @@
             return AttemptOutcome::NotRun(reason);
         }
     };
-    if lease.is_withdrawn() {
-        return AttemptOutcome::NotRun(NotRunReason::Withdrawn);
+    if let Some(reason) = obstacle(&lease) {
+        return AttemptOutcome::NotRun(reason);
     }
     set_attempt_headers(&context, &server, request.headers_mut());
     match send_request(&lease, &context, connection, request).await {
@@ -153,6 +156,14 @@
     }
 }
 
+/// Why a request must not be sent to its server any more; checked right before it is sent.
+fn obstacle(lease: &ServerLease) -> Option<NotRunReason> {
+    if lease.is_withdrawn() {
+        return Some(NotRunReason::Withdrawn);
+    }
+    lease.has_missed_turn().then_some(NotRunReason::MissedTurn)
+}
+
 /// What a request that was not sent says about its server.
 fn unsent_outcome(reason: NotRunReason) -> SampleOutcome {
     match reason {
@@ -222,8 +233,8 @@
     drop(connection);
     let (_, mut connection) =
         connect(lease, ReusePolicy::Never).await.map_err(AttemptOutcome::NotRun)?;
-    if lease.is_withdrawn() {
-        return Err(AttemptOutcome::NotRun(NotRunReason::Withdrawn));
+    if let Some(reason) = obstacle(lease) {
+        return Err(AttemptOutcome::NotRun(reason));
     }
     context.is_sent.store(true, Ordering::Release);
     let mut error = match connection.sender.try_send_request(request).await {
@@ -257,6 +268,7 @@
     let is_other_server = is_of_other_server(context, &exchange);
     if !is_other_server {
         lease.record_notice(&(context.wire.read_notice)(status, headers));
+        lease.record_warm_up((context.wire.read_warm_up)(headers));
     }
     let names = &context.wire.headers;
     if headers.get(&names.request_id).is_some_and(|id| *id != context.request_id) {
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -444,7 +444,7 @@
     /// Prepares an attempt and returns the future that runs it.
     fn start_attempt(
         &mut self,
-        server: SelectedServer,
+        mut server: SelectedServer,
         reuse_policy: ReusePolicy,
         sent_flags: &mut SentFlags,
     ) -> impl Future<Output = FinishedAttempt> + use<> {
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -13,7 +13,7 @@
 
 use balance::{
     LimitResponse, MAX_PROBE_ROUNDS, PROBES_PER_ROUND, PlacementEstimate, RequestShape,
-    SampleOutcome, ServerTicket,
+    SampleOutcome, ServerTicket, WarmUpResponse,
 };
 use model::ServerId;
 use observe::{HostedMetrics, IntCounter};
@@ -94,16 +94,14 @@
     candidates: &[ServerTicket],
     shape: RequestShape,
 ) {
-    let should_probe = candidates.len() > 1 && context.service.group().is_worth_probing();
-    let Some(path) = context.health_path.filter(|_| should_probe) else {
+    let now = Instant::now();
+    let due = due_probes(context, candidates, now);
+    let Some(path) = context.health_path.filter(|_| !due.is_empty()) else {
         return;
     };
-    let now = Instant::now();
     let mut probes = JoinSet::new();
-    for ticket in candidates {
-        if !context.service.group().has_fresh_report(*ticket, FRESH_REPORT_AGE, now) {
-            probes.spawn(probe_server(context, *ticket, path));
-        }
+    for ticket in due {
+        probes.spawn(probe_server(context, ticket, path));
     }
     let probe_deadline = now + context.service.group().probe_wait();
     while let Ok(Some(_)) = timeout_at(probe_deadline, probes.join_next()).await {
@@ -121,6 +119,25 @@
     probes.detach_all();
 }
 
+/// Returns the candidates to probe: those without a fresh report if there is a choice, and those
+/// that may be cold in any case.
+fn due_probes(
+    context: &SelectionContext<'_>,
+    candidates: &[ServerTicket],
+    now: Instant,
+) -> Vec<ServerTicket> {
+    let group = context.service.group();
+    if !group.is_worth_probing() {
+        return Vec::new();
+    }
+    let has_choice = candidates.len() > 1;
+    let is_due = |ticket: &ServerTicket| {
+        let is_compared = has_choice && !group.has_fresh_report(*ticket, FRESH_REPORT_AGE, now);
+        is_compared || group.may_be_cold(*ticket, now)
+    };
+    candidates.iter().copied().filter(is_due).collect()
+}
+
 /// Probes a server while this VM reaches none, to learn when that ends.
 pub(crate) fn check_access(context: &SelectionContext<'_>, shape: RequestShape) {
     let now = Instant::now();
@@ -212,6 +229,8 @@
         return Some(());
     }
     service.record_notice(ticket, &(wire.read_notice)(response.status().as_u16(), headers));
+    let left = (wire.read_warm_up)(headers);
+    service.record_warm_up(ticket, WarmUpResponse { left, is_probe: true, sent_at });
     match (wire.read_load)(headers) {
         Some(load) => service.group().apply_report(ticket, load, Instant::now()),
         None => service.group().count_check_without_report(),
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -10,15 +10,16 @@
 use tokio::time::Instant;
 
 use balance::{
-    AssignedTurns, LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape,
-    SendTurns, ServerIncarnation, ServerNotice, ServerTicket, StartedRequest,
+    AssignedTurns, ColdBound, ColdLimits, LimitResponse, ListedWarmUp, PlacementGroup,
+    PlacementOptions, PlacementServer, RequestShape, SendTurns, ServerIncarnation, ServerNotice,
+    ServerTicket, StartedRequest, WarmUpResponse,
 };
 use board::HostedBoard;
 use limits::{AttemptBudget, AttemptLimits};
 use model::{FastMap, RequestRate, ServerId};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
-use routes::{ServerRecord, ServiceName};
+use routes::{ServerRecord, ServiceInfo, ServiceName, WarmUp};
 
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
@@ -63,6 +64,11 @@
             "by_probe" => named.is_probe);
     }
 
+    /// Records what a server's own response says about its warm-up.
+    pub(crate) fn record_warm_up(&self, ticket: ServerTicket, response: WarmUpResponse) {
+        self.group().record_warm_up(ticket, response, Instant::now());
+    }
+
     /// Records what a server's own response says about it.
     pub(crate) fn record_notice(&self, ticket: ServerTicket, notice: &ServerNotice) {
         if *notice == ServerNotice::default() {
@@ -168,6 +174,10 @@
     slack: Mutex<(f64, Instant)>,
     /// This entry VM's turns at backend servers that name a limit.
     turns: Mutex<SendTurns>,
+    /// Agreed bound of the requests to cold servers; `None` if there is none.
+    cold_bound: Option<ColdBound>,
+    /// How servers warm up, by service, as the configuration in force says.
+    warm_ups: Mutex<FastMap<ServiceName, WarmUp>>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
@@ -196,6 +206,8 @@
             limits,
             slack: Mutex::new((limits.slack, Instant::now())),
             turns: Mutex::new(turns),
+            cold_bound: None,
+            warm_ups: Mutex::default(),
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
@@ -206,6 +218,35 @@
         }
     }
 
+    /// Sets the agreed bound of the requests to cold servers. Without one they have no limit.
+    pub fn with_cold_bound(mut self, bound: Option<ColdBound>) -> Self {
+        self.cold_bound = bound;
+        self
+    }
+
+    /// Applies how servers warm up, as a configuration says.
+    pub fn set_warm_ups(&self, infos: &FastMap<ServiceName, ServiceInfo>) {
+        let warm_ups = infos
+            .iter()
+            .filter_map(|(name, info)| info.warm_up.map(|warm_up| (name.clone(), warm_up)));
+        *self.warm_ups() = warm_ups.collect();
+        let _guard = self.update_lock();
+        for (name, service) in self.services.load().iter() {
+            service.group().set_cold_limits(self.cold_limits(name));
+        }
+    }
+
+    fn cold_limits(&self, name: &ServiceName) -> Option<ColdLimits> {
+        let bound = self.cold_bound?;
+        let WarmUp { duration, rate } = *self.warm_ups().get(name)?;
+        Some(ColdLimits { duration, rate, bound })
+    }
+
+    /// Returns the number of cold servers of all services.
+    pub fn cold_servers(&self, now: Instant) -> usize {
+        self.services.load().values().map(|service| service.group().cold_servers(now)).sum()
+    }
+
     /// Returns the service with this name. Adds it, without servers, if it is new.
     pub(crate) fn get_or_create(&self, name: &ServiceName) -> Arc<HostedService> {
         if let Some(service) = self.services.load().get(name) {
@@ -227,7 +268,7 @@
     ) {
         let mut by_service: FastMap<&ServiceName, Vec<PlacementServer>> = FastMap::default();
         for record in records {
-            by_service.entry(&record.service).or_default().push(placement_server(record));
+            by_service.entry(&record.service).or_default().push(placement_server(record, now));
         }
         let server_count = by_service.values().map(Vec::len).sum();
         for name in by_service.keys() {
@@ -308,6 +349,10 @@
         self.turns.lock().expect("turn lock is never poisoned")
     }
 
+    fn warm_ups(&self) -> MutexGuard<'_, FastMap<ServiceName, WarmUp>> {
+        self.warm_ups.lock().expect("warm-up lock is never poisoned")
+    }
+
     fn update_lock(&self) -> MutexGuard<'_, ()> {
         self.update_lock.lock().expect("service lock is never poisoned")
     }
@@ -316,6 +361,7 @@
         let mut group = PlacementGroup::new(self.options.clone());
         let turns = *self.turns();
         group.set_turns(turns);
+        group.set_cold_limits(self.cold_limits(name));
         let mut budget = AttemptBudget::new(self.limits);
         let (slack, valid_until) = *self.slack();
         budget.set_slack(slack, valid_until);
@@ -342,6 +388,8 @@
     request: StartedRequest,
     /// Age of the load report by which the server was selected.
     pub(crate) report_age: Option<Duration>,
+    /// When the request was counted against the server's limit.
+    counted_at: Option<Instant>,
     is_finished: bool,
 }
 
@@ -357,7 +405,13 @@
         let request = group.start_request(ticket, shape, now);
         let report_age = group.report_age(ticket, now);
         drop(group);
-        Self { service: Arc::clone(service), request, report_age, is_finished: false }
+        Self {
+            service: Arc::clone(service),
+            request,
+            report_age,
+            counted_at: None,
+            is_finished: false,
+        }
     }
 
     /// Returns the ticket of the server.
@@ -370,9 +424,25 @@
         self.service.group().incarnation(self.ticket())
     }
 
-    /// Counts the request against the server's limit, right before it is sent.
-    pub(crate) fn record_sent(&self) {
-        self.service.group().record_sent(self.ticket(), Instant::now());
+    /// Counts the request against the server's limit, right before its connection is chosen.
+    pub(crate) fn record_sent(&mut self) {
+        let now = Instant::now();
+        self.counted_at = Some(now);
+        self.service.group().record_sent(self.ticket(), now);
+    }
+
+    /// Whether the turn for which the request was counted is over, and the server is cold.
+    pub(crate) fn has_missed_turn(&self) -> bool {
+        let holds_turn =
+            |counted_at| self.service.group().holds_turn(self.ticket(), counted_at, Instant::now());
+        !self.counted_at.is_some_and(holds_turn)
+    }
+
+    /// Records what the server's own response says about its warm-up.
+    pub(crate) fn record_warm_up(&self, left: Option<Duration>) {
+        let sent_at = self.request.started_at();
+        let response = WarmUpResponse { left, is_probe: false, sent_at };
+        self.service.record_warm_up(self.ticket(), response);
     }
 
     /// Whether the server has withdrawn since it was selected.
@@ -412,7 +482,10 @@
     }
 }
 
-fn placement_server(record: &ServerRecord) -> PlacementServer {
+fn placement_server(record: &ServerRecord, now: Instant) -> PlacementServer {
+    let left = Some(record.slow_start_remaining).filter(|left| !left.is_zero());
+    let warm_up =
+        left.map(|left| ListedWarmUp { sequence: record.sequence, left, received_at: now });
     PlacementServer {
         id: record.id.clone(),
         started_at_ms: record.started_at_ms,
@@ -420,5 +493,6 @@
         zone: record.zone.clone(),
         slots: record.slots,
         is_leaving: record.is_leaving,
+        warm_up,
     }
 }
--- a/components/routes/src/interface.rs
+++ b/components/routes/src/interface.rs
@@ -1,6 +1,8 @@
 //! Header fields of requests and responses that the load balancer sets or reads, and functions that
 //! read them.
 
+use std::time::Duration;
+
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 
@@ -33,6 +35,9 @@
     /// Reads the rate of requests that the server accepts from all entry VMs together, if the
     /// response names one.
     pub read_limit: fn(&HeaderMap) -> Option<RequestRate>,
+    /// Reads for how long the server stays cold, zero if it is warm; `None` if the response doesn't
+    /// say.
+    pub read_warm_up: fn(&HeaderMap) -> Option<Duration>,
     /// Reads what the status and headers of a response say about its server.
     pub read_notice: fn(u16, &HeaderMap) -> ServerNotice,
     /// Whether the status and headers of a response state that the backend server did not start to
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -68,6 +68,9 @@
     /// When a request that crashes its servers is refused, and for how long.
     #[serde(default)]
     pub quarantine: QuarantineSettings,
+    /// Agreed bound of the requests to cold servers; absent if they have none.
+    #[serde(default)]
+    pub cold_servers: Option<ColdServerSettings>,
     /// Minimum level of log records that are written.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -84,6 +87,15 @@
     pub window_s: f64,
 }
 
+/// Bound of the requests that a cold server gets in any second from the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct ColdServerSettings {
+    /// Multiple of the rate that the server tolerates.
+    pub over: f64,
+    /// Requests in addition.
+    pub slack: f64,
+}
+
 /// When a request that crashes its servers is refused, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default)]
@@ -183,6 +195,11 @@
     FieldRule { name: "time_s", kind: FieldKind::Number(1.0, 86_400.0), is_required: false },
 ];
 
+const COLD_SERVER_FIELDS: &[FieldRule] = &[
+    required("over", FieldKind::Number(0.1, 1_000.0)),
+    required("slack", FieldKind::Number(0.0, 1_000_000.0)),
+];
+
 const HOSTED_FIELDS: &[FieldRule] = &[
     required("vm", FieldKind::NonEmptyString),
     required("zone", FieldKind::Name),
@@ -204,6 +221,11 @@
         kind: FieldKind::Object(QUARANTINE_FIELDS),
         is_required: false,
     },
+    FieldRule {
+        name: "cold_servers",
+        kind: FieldKind::Object(COLD_SERVER_FIELDS),
+        is_required: false,
+    },
     FieldRule { name: "first_start", kind: FieldKind::Boolean, is_required: false },
     FieldRule {
         name: "cross_zone_requests_per_gb",
