--- a/components/proxy/src/hosted/identity.rs
+++ b/components/proxy/src/hosted/identity.rs
@@ -160,3 +160,6 @@
     let is_separator = |byte: &u8| byte.is_ascii_whitespace() || matches!(byte, b',' | b';');
     field.as_bytes().split(is_separator).any(|word| word.eq_ignore_ascii_case(scheme))
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/hosted_partitioned_vms.rs
+++ b/tests/hosted_partitioned_vms.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use hyper::Method;
-use routes::ServerRecord;
+use routes::{AccountEntry, ServerRecord};
 use rustix::process::Signal;
 use testkit::{
-    CallRequest, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer, call,
-    eventually, free_address, hosted_config, hosted_request, standard_routes,
+    CallRequest, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer,
+    account_entry, call, eventually, free_address, hosted_config, hosted_request, standard_routes,
 };
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -51,6 +51,10 @@
 
 impl Fleet {
     async fn start(vm_count: usize) -> Self {
+        Self::start_with_accounts(vm_count, None).await
+    }
+
+    async fn start_with_accounts(vm_count: usize, accounts: Option<&[AccountEntry]>) -> Self {
         let mut servers = Vec::new();
         for number in 0..4 {
             let behaviour = HostedBehaviour::Run(Duration::from_millis(5));
@@ -65,7 +69,11 @@
                 route.timeout = Duration::from_secs(2);
                 route.target_latency = Duration::from_secs(1);
             }
-            platform.put_config(&hosted_config(1, routes));
+            let config = hosted_config(1, routes);
+            match accounts {
+                Some(accounts) => platform.put_config_with_accounts(&config, accounts),
+                None => platform.put_config(&config),
+            }
             let mut links = Vec::new();
             for server in &servers {
                 let link = FaultProxy::start(server.record.address).await;
@@ -209,3 +217,43 @@
     fleet.vms[1].daemon.signal(Signal::CONT);
     assert!(served * 3 >= REQUESTS * 2, "{served} of {REQUESTS} requests are served");
 }
+
+/// The VM that serves a request for another one authenticates it itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_partitioned_from_all_servers_serves_client_accounts_without_showing_their_keys() {
+    const KEY: &str = "rjvz48wuakn2ftimaj3n";
+    let accounts = [account_entry("anna", &[KEY])];
+    let mut fleet = Fleet::start_with_accounts(2, Some(&accounts)).await;
+    let send = async |fleet: &mut Fleet, key: &str| {
+        let request = fleet
+            .request(0, Method::POST, "/order/1")
+            .with_header("authorization", &format!("Token {key}"))
+            .with_header("x-mustardrail-tenant", "boris");
+        let status = call(&request).await.expect("the daemon responds").status;
+        (testkit::request_id(&request), status)
+    };
+    assert_eq!(send(&mut fleet, KEY).await.1, 200);
+    fleet.cut(0, Loss::Refuse);
+    fleet.send_during_contact_time(0).await;
+    let mut served = Vec::new();
+    for _ in 0..REQUESTS {
+        let (id, status) = send(&mut fleet, KEY).await;
+        if status == 200 {
+            served.push(id);
+        }
+        let (id, status) = send(&mut fleet, "0000000000000000000a").await;
+        assert_eq!((status, fleet.runs(&id)), (401, 0));
+    }
+    assert!(served.len() * 3 >= REQUESTS * 2, "{} of {REQUESTS} are served", served.len());
+    let runs: Vec<_> = fleet.servers.iter().flat_map(HostedServer::runs).collect();
+    for run in runs.iter().filter(|run| served.contains(&run.id)) {
+        let accounts: Vec<_> = run.headers.get_all("x-mustardrail-tenant").iter().collect();
+        assert_eq!(accounts, ["anna"]);
+        assert!(!run.headers.contains_key("authorization"));
+        assert!(!run.headers.contains_key("mustardrail-forwarded"));
+    }
+    for vm in &fleet.vms {
+        let log = std::fs::read_to_string(vm.daemon.log_path()).expect("the log can be read");
+        assert!(!log.contains(KEY), "a key is in a log");
+    }
+}
