Credits of client accounts that the sum over the fleet keeps

Cause: a quota holds over all entry VMs together, while the requests of an account may arrive at one VM or at all of them.

Change: pure types. A relay's ledger has a token bucket for each account and lends credits to other relays; a VM's queue requests one credit for each request that waits, remembers refusals, reuses credits of requests that did not run, and has a small allowance without a relay. The types of credit messages move to limits.

Ruled out: fixed shares, the store, owners by hash with leases (docs/design/quotas.md).

--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -7,6 +7,7 @@
 mod bucket;
 mod gate;
 mod queue;
+mod quota;
 mod retry;
 mod slack;
 
@@ -14,5 +15,9 @@
 pub use bucket::TokenBucket;
 pub use gate::{AdmissionGate, AdmissionOutcome, AdmissionRefusal};
 pub use queue::{FairQueue, QueueFull};
+pub use quota::{
+    Credit, CreditDecision, CreditGrant, CreditLedger, CreditMessages, CreditQueue, CreditRequest,
+    CreditSource, PartyId, QuotaLimits,
+};
 pub use retry::RetryBudget;
 pub use slack::{MemberId, ShareLedger, share_divisor, slack_share};
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -17,9 +17,8 @@
 pub use handshake::PeerIdentity;
 pub use message::{PeerAck, PeerHeartbeat, PeerMessage};
 pub use relay::{
-    CreditGrant, CreditRequest, HELPER_INTERVAL, HeldVersions, RelayHub, RelayMessage,
-    RelaySubscription, RelayTiming, SubscriberMessage, SubscriberTurns, serve_relay,
-    serve_subscriber,
+    HELPER_INTERVAL, HeldVersions, RelayHub, RelayMessage, RelaySubscription, RelayTiming,
+    SubscriberMessage, SubscriberTurns, serve_relay, serve_subscriber,
 };
 pub use transfer::PeerStream;
 pub use wire::PeerError;
--- a/components/peers/src/relay/messages.rs
+++ b/components/peers/src/relay/messages.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use limits::{CreditGrant, CreditRequest};
 use model::{StoreVersion, ZoneName};
 use quarantine::CrashReport;
 use routes::{RouteTable, ServerChange, ServerRecord};
@@ -33,26 +34,6 @@
     pub evacuations: Option<StoreVersion>,
 }
 
-/// Requests of a client account.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CreditRequest {
-    /// Name of the account.
-    pub account: Box<str>,
-    /// Number of requests that wait for a credit.
-    pub count: u32,
-}
-
-/// Response to a credit request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CreditGrant {
-    /// Name of the account.
-    pub account: Box<str>,
-    /// Number of requests that may be forwarded; at most the requested number.
-    pub count: u32,
-    /// Milliseconds until there will be credit again, if not all requests got one.
-    pub retry_after_ms: u32,
-}
-
 /// A message from a subscriber to a relay that exchanges crash reports.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum SubscriberMessage {
--- a/components/peers/src/relay/mod.rs
+++ b/components/peers/src/relay/mod.rs
@@ -15,9 +15,7 @@
 mod subscription;
 
 pub use hub::{RelayHub, RelayTiming};
-pub use messages::{
-    CreditGrant, CreditRequest, HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns,
-};
+pub use messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
 pub use server::{HELPER_INTERVAL, serve_relay, serve_subscriber};
 pub use subscription::RelaySubscription;
 
