Request credits for requests of accounts with a quota

Cause: nothing connected the credits to the request path and to the relays.

Change: a relay grants credits to its subscribers and lends them to other relays on the connections that exist (RelayMessage::CreditRequests and SubscriberMessage::CreditGrants are new, for the two directions that were missing). A dialed relay says with an empty list that it understands credits, so that an older version gets no such message. The handler takes a credit before it dispatches a request and gives it back if the request did not run or another VM serves it. Settings: quotas. Metrics by account with at most 200 labels.

--- a/components/daemon/src/hosted/crash_exchange.rs
+++ b/components/daemon/src/hosted/crash_exchange.rs
@@ -1,18 +1,21 @@
 //! Exchanges crash reports between relays, so that the subscribers of all of them know each report,
-//! and tells which VMs reach backend servers.
+//! tells which VMs reach backend servers, and lends and borrows credits of client accounts.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::time::{Instant, interval, sleep};
 
+use limits::CreditMessages;
 use model::jittered;
 use observe::{Logger, info};
 use peers::{
-    HELPER_INTERVAL, HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription,
-    SubscriberMessage,
+    CreditConnection, HELPER_INTERVAL, HeldVersions, PeerError, RelayHub, RelayMessage,
+    RelaySubscription, SubscriberMessage,
 };
 use quarantine::CrashBoard;
+use routes::CONFIG_FORMAT;
 use settings::HostedTiming;
 
 /// Exchanges crash reports with one other relay.
@@ -42,6 +45,7 @@
             let held = HeldVersions {
                 exchanges_crash_reports: true,
                 is_relay: true,
+                format: CONFIG_FORMAT,
                 ..HeldVersions::default()
             };
             let handshake_timeout = self.timing.relay_handshake_timeout;
@@ -63,10 +67,12 @@
     async fn exchange(&self, mut connection: RelaySubscription) -> PeerError {
         let mut crash_feed = self.crashes.feed();
         let mut helper_ticks = interval(HELPER_INTERVAL);
+        // `None` while the other relay is not known to understand credits.
+        let mut credits: Option<CreditConnection<'_>> = None;
         loop {
             let result = tokio::select! {
                 received = connection.next(self.timing.relay_silence_timeout) => {
-                    received.map(|message| self.apply(message))
+                    received.map(|message| self.apply(message, &mut credits))
                 }
                 _ = helper_ticks.tick() => {
                     let callers = self.hub.own_helpers();
@@ -74,6 +80,9 @@
                     connection.send(&message).await
                 }
                 reports = crash_feed.next() => connection.send_crash_reports(reports).await,
+                messages = next_credit_messages(&mut credits) => {
+                    send_credit_messages(&mut connection, messages).await
+                }
             };
             if let Err(error) = result {
                 return error;
@@ -81,12 +90,38 @@
         }
     }
 
-    fn apply(&self, message: RelayMessage) {
+    fn apply<'a>(&'a self, message: RelayMessage, credits: &mut Option<CreditConnection<'a>>) {
         match message {
             RelayMessage::CrashReports(reports) => self.crashes.merge(&reports, Instant::now()),
+            RelayMessage::CreditGrants(grants) => {
+                credits.get_or_insert_with(|| self.hub.connect_lender()).apply_loans(&grants);
+            }
+            RelayMessage::CreditRequests(requests) => {
+                credits.get_or_insert_with(|| self.hub.connect_lender()).lend(&requests);
+            }
             RelayMessage::Helpers(helpers) => self.hub.set_relay_helpers(self.relay, helpers),
             // An older version of the daemon takes this relay for a subscriber.
             _ => {}
         }
     }
 }
+
+async fn next_credit_messages(credits: &mut Option<CreditConnection<'_>>) -> CreditMessages {
+    match credits {
+        Some(credits) => credits.next().await,
+        None => pending().await,
+    }
+}
+
+async fn send_credit_messages(
+    connection: &mut RelaySubscription,
+    messages: CreditMessages,
+) -> Result<(), PeerError> {
+    if !messages.requests.is_empty() {
+        connection.send(&SubscriberMessage::CreditRequests(messages.requests)).await?;
+    }
+    if !messages.grants.is_empty() {
+        connection.send(&SubscriberMessage::CreditGrants(messages.grants)).await?;
+    }
+    Ok(())
+}
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -84,6 +84,7 @@
                     }
                     Err(error) => SubscriptionEnd::Failed(error),
                 };
+                self.view.services.quotas.disconnect();
                 // Without a relay this VM's share of the slack is unknown.
                 self.view.services.set_slack(0.0, Instant::now());
                 info!(self.view.log, "relay: subscription failed"; "relay" => %relay,
@@ -116,6 +117,8 @@
         let mut crash_feed = self.view.crashes.feed();
         // Older versions of the daemon don't exchange crash reports.
         let mut exchanges_crash_reports = false;
+        // Older versions of the daemon grant no credits.
+        let mut grants_credits = false;
         let mut lost_servers = self.view.board.watch_lost_servers();
         // The first message tells it to the relay.
         lost_servers.mark_changed();
@@ -131,6 +134,10 @@
                 reports = crash_feed.next(), if exchanges_crash_reports => {
                     subscription.send_crash_reports(reports).await.map(|()| None)
                 }
+                requests = self.view.services.quotas.next_requests(), if grants_credits => {
+                    let message = SubscriberMessage::CreditRequests(requests);
+                    subscription.send(&message).await.map(|()| None)
+                }
             };
             let message = match received {
                 Ok(Some(message)) => message,
@@ -140,7 +147,11 @@
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
-            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, .. } = message {
+            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, format, .. } = message {
+                if format > 0 && !grants_credits {
+                    grants_credits = true;
+                    self.view.services.quotas.connect();
+                }
                 if self.view.servers_version().is_some_and(|held| held.era > era) {
                     return SubscriptionEnd::EarlierEra(era);
                 }
@@ -178,7 +189,8 @@
     ) -> Option<SubscriptionEnd> {
         let view = &self.view;
         match message {
-            RelayMessage::Evacuations { .. } | RelayMessage::CreditGrants(_) => {}
+            RelayMessage::Evacuations { .. } | RelayMessage::CreditRequests(_) => {}
+            RelayMessage::CreditGrants(grants) => view.services.quotas.apply_grants(&grants),
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
@@ -202,6 +214,7 @@
                 let share = slack_share(self.slack, relays, members);
                 view.services.set_slack(share, sent_at + validity);
                 if let Some(turns) = turns {
+                    view.services.quotas.set_fleet_size(turns.count.saturating_mul(relays as u32));
                     view.services.assign_turns(&assigned_turns(&turns, sent_at, validity));
                 }
             }
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -11,11 +11,13 @@
 
 use balance::{PlacementOptions, SendTurns};
 use board::HostedBoard;
-use limits::{AttemptLimits, slack_share};
+use limits::{AttemptLimits, QuotaLimits, slack_share};
 use observe::{BatchedLogger, FLUSH_INTERVAL, HostedMetrics, Logger, info, slog_level, warn};
 use peers::{RelayHub, RelayTiming, serve_relay};
 use platform::PlatformStore;
-use proxy::{HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY};
+use proxy::{
+    AccountQuotas, HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY,
+};
 use quarantine::{CrashBoard, CrashLimits};
 use settings::{HostedSettings, HostedTiming, SettingsError, load_hosted_settings};
 
@@ -111,6 +113,8 @@
             timing,
         };
         background.spawn(own_membership.run());
+        let limits = quota_limits(&settings);
+        background.spawn(request_own_credits(Arc::clone(hub), Arc::clone(&services), limits));
     }
     background.spawn(new_platform_watcher(&settings, &timing, &view).run());
     background.spawn(async move { view.run_server_expiry().await });
@@ -166,6 +170,7 @@
         budget_window: attempt_limits(settings).retention(),
         max_state_age: timing.max_relay_state_age,
         share_validity: timing.relay_silence_timeout,
+        quotas: quota_limits(settings),
     };
     let hub = Arc::new(RelayHub::new(relay_timing, settings.first_start, Arc::clone(crashes)));
     for relay in settings.relays.iter().filter(|relay| settings.relay < **relay) {
@@ -278,7 +283,9 @@
     };
     let turns = SendTurns::unassigned(settings.relays.len(), rand::random(), Instant::now());
     let (board, metrics) = (Arc::clone(board), metrics.clone());
-    HostedServices::new(placement, attempt_limits(settings), turns, board, metrics, log.clone())
+    let quotas = AccountQuotas::new(quota_limits(settings), metrics.clone());
+    let limits = attempt_limits(settings);
+    HostedServices::new(placement, limits, turns, quotas, board, metrics, log.clone())
 }
 
 fn attempt_limits(settings: &HostedSettings) -> AttemptLimits {
@@ -292,6 +299,36 @@
     }
 }
 
+fn quota_limits(settings: &HostedSettings) -> QuotaLimits {
+    let quotas = settings.quotas;
+    QuotaLimits {
+        over: quotas.over,
+        slack: quotas.slack,
+        window: Duration::from_secs_f64(quotas.window_s),
+        relays: settings.relays.len(),
+    }
+}
+
+/// Requests the credits of a relay's own callers from its hub, without messages, and continues
+/// without loans that are late, until the future is dropped.
+async fn request_own_credits(
+    hub: Arc<RelayHub>,
+    services: Arc<HostedServices>,
+    limits: QuotaLimits,
+) {
+    let quotas = &services.quotas;
+    let mut credits = hub.connect_own_credits();
+    quotas.connect();
+    let mut ticks = interval(limits.loan_validity());
+    loop {
+        tokio::select! {
+            requests = quotas.next_requests() => credits.request(&requests),
+            messages = credits.next() => quotas.apply_grants(&messages.grants),
+            _ = ticks.tick() => hub.expire_loans(),
+        }
+    }
+}
+
 async fn flush_logs(logs: BatchedLogger) {
     let mut ticks = interval(FLUSH_INTERVAL);
     loop {
--- a/components/limits/src/quota/requests.rs
+++ b/components/limits/src/quota/requests.rs
@@ -187,6 +187,9 @@
 
     /// Returns the time at which `next_requests` may return more without a further event.
     pub fn next_request_at(&self) -> Option<Instant> {
+        if self.lost_relay_at.is_some() {
+            return None;
+        }
         let queues = self.pending.iter().filter_map(|name| self.accounts.get(name));
         queues.filter_map(|queue| queue.request_from).min()
     }
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -1,5 +1,7 @@
 //! Metrics of an entry VM on a hosting platform.
 
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
@@ -7,11 +9,20 @@
 use crate::metrics::RequestOutcome;
 use crate::registry::{register_counter, register_gauge, render_metrics};
 
+/// Maximum number of client accounts with a label of their own.
+const MAX_LABELED_ACCOUNTS: usize = 200;
+
+/// Label of all further accounts.
+const OTHER_ACCOUNTS: &str = "other accounts";
+
 /// Metrics of a hosted entry VM, for Prometheus.
 #[derive(Debug, Clone)]
 pub struct HostedMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    credits: IntCounterVec,
+    /// Accounts that have a label of their own.
+    labeled_accounts: Arc<Mutex<BTreeSet<Box<str>>>>,
     request_seconds: Histogram,
     /// Probes sent to backend servers.
     pub probes: IntCounter,
@@ -62,6 +73,15 @@
             &["outcome"],
         )
         .expect("metric definitions are valid");
+        let credits = IntCounterVec::new(
+            Opts::new(
+                "mustardrail_account_requests_total",
+                "Requests of client accounts with a quota that got a credit or were refused.",
+            ),
+            &["account", "outcome"],
+        )
+        .expect("metric definitions are valid");
+        registry.register(Box::new(credits.clone())).expect("metric names are unique");
         let request_seconds = Histogram::with_opts(
             HistogramOpts::new("mustardrail_request_seconds", "Time to the head of the answer.")
                 .buckets(prometheus::exponential_buckets(0.005, 1.6, 16).expect("valid buckets")),
@@ -116,6 +136,8 @@
             store_era: gauge("mustardrail_store_era", "Newest era of the store."),
             servers: gauge("mustardrail_servers", "Backend servers known."),
             requests,
+            credits,
+            labeled_accounts: Arc::default(),
             request_seconds,
             registry,
         }
@@ -127,6 +149,25 @@
         self.request_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a request of a client account with a quota.
+    pub fn count_credit(&self, account: &str, is_granted: bool) {
+        let outcome = if is_granted { "granted" } else { "refused" };
+        self.credits.with_label_values(&[self.account_label(account), outcome]).inc();
+    }
+
+    /// Returns the label of an account, so that their number is limited.
+    fn account_label<'a>(&self, account: &'a str) -> &'a str {
+        let mut labeled = self.labeled_accounts.lock().expect("label lock is never poisoned");
+        if labeled.contains(account) {
+            return account;
+        }
+        if labeled.len() >= MAX_LABELED_ACCOUNTS {
+            return OTHER_ACCOUNTS;
+        }
+        labeled.insert(account.into());
+        account
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         render_metrics(&self.registry)
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -17,8 +17,8 @@
 pub use handshake::PeerIdentity;
 pub use message::{PeerAck, PeerHeartbeat, PeerMessage};
 pub use relay::{
-    HELPER_INTERVAL, HeldVersions, RelayHub, RelayMessage, RelaySubscription, RelayTiming,
-    SubscriberMessage, SubscriberTurns, serve_relay, serve_subscriber,
+    CreditConnection, HELPER_INTERVAL, HeldVersions, RelayHub, RelayMessage, RelaySubscription,
+    RelayTiming, SubscriberMessage, SubscriberTurns, serve_relay, serve_subscriber,
 };
 pub use transfer::PeerStream;
 pub use wire::PeerError;
--- a/components/peers/src/relay/hub.rs
+++ b/components/peers/src/relay/hub.rs
@@ -8,11 +8,12 @@
 use tokio::sync::broadcast;
 use tokio::time::Instant;
 
-use limits::{MemberId, ShareLedger, share_divisor};
+use limits::{MemberId, QuotaLimits, ShareLedger, share_divisor};
 use model::StoreVersion;
 use quarantine::CrashBoard;
 use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRecord};
 
+use crate::relay::credits::{CreditConnection, CreditDesk};
 use crate::relay::helpers::{HelperConnection, HelperSet, HelperSource};
 use crate::relay::messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
 use crate::wire::{EncodedMessage, PeerError};
@@ -25,7 +26,7 @@
 /// A subscriber with a version before all of them receives the full list.
 const CHANGE_HISTORY_CAPACITY: usize = 64;
 
-/// Times of a relay, which follow the bounds of the hosting platform.
+/// Times and limits of a relay, which follow the bounds of the hosting platform.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayTiming {
     /// Interval between two keep-alive messages.
@@ -39,6 +40,8 @@
     /// How long a member uses its share and its turns after the message that brought them.
     /// Invariant: longer than `keep_alive_interval`.
     pub share_validity: Duration,
+    /// How far accounts may exceed their quotas.
+    pub quotas: QuotaLimits,
 }
 
 /// State of a relay, and the channel to its subscribers.
@@ -48,6 +51,7 @@
     own_membership: Membership,
     pub(super) crashes: Arc<CrashBoard>,
     pub(super) helpers: HelperSet,
+    pub(super) credits: CreditDesk,
     state: Mutex<HubState>,
     updates: broadcast::Sender<EncodedMessage>,
 }
@@ -188,6 +192,7 @@
             own_membership,
             crashes,
             helpers: HelperSet::default(),
+            credits: CreditDesk::new(timing.quotas, is_first_start, now),
             state: Mutex::new(state),
             updates: broadcast::Sender::new(SUBSCRIBER_QUEUE_CAPACITY),
         }
@@ -212,6 +217,7 @@
 
     /// Sends a configuration to the subscribers and keeps it for later ones.
     pub fn publish_config(&self, table: &RouteTable) -> Result<(), PeerError> {
+        self.credits.apply_config(table, Instant::now());
         let mut latest = LatestMessage::new(table.version.0, RelayMessage::Config(table.clone()));
         let mut state = self.state();
         if self.updates.receiver_count() > 0 {
@@ -350,6 +356,21 @@
         Ok((missing, self.updates.subscribe()))
     }
 
+    /// Adds a connection by which the relay itself requests credits.
+    pub fn connect_own_credits(&self) -> CreditConnection<'_> {
+        self.credits.connect()
+    }
+
+    /// Adds a connection to another relay that lends and borrows credits.
+    pub fn connect_lender(&self) -> CreditConnection<'_> {
+        self.credits.connect_relay()
+    }
+
+    /// Continues without loans of credits that don't arrive in time.
+    pub fn expire_loans(&self) {
+        self.credits.expire_loans(Instant::now());
+    }
+
     /// Records whether the relay itself reaches backend servers, and its caller address.
     pub fn set_own_access(&self, callers: SocketAddr, reaches_servers: bool) {
         let helpers = if reaches_servers { vec![callers] } else { Vec::new() };
@@ -376,6 +397,8 @@
     pub(super) fn apply(
         &self,
         connection: &HelperConnection<'_>,
+        credits: &CreditConnection<'_>,
+        is_relay: bool,
         (message, _): (SubscriberMessage, u64),
     ) -> Option<bool> {
         match message {
@@ -383,7 +406,17 @@
                 self.crashes.merge(&reports, Instant::now());
                 None
             }
-            SubscriberMessage::CreditRequests(_) => None,
+            SubscriberMessage::CreditRequests(requests) => {
+                match is_relay {
+                    true => credits.lend(&requests),
+                    false => credits.request(&requests),
+                }
+                None
+            }
+            SubscriberMessage::CreditGrants(grants) => {
+                credits.apply_loans(&grants);
+                None
+            }
             SubscriberMessage::Helpers { callers, needs_helpers } => {
                 connection.set(callers);
                 Some(needs_helpers)
--- a/components/peers/src/relay/messages.rs
+++ b/components/peers/src/relay/messages.rs
@@ -34,6 +34,13 @@
     pub evacuations: Option<StoreVersion>,
 }
 
+impl HeldVersions {
+    /// Whether the sender understands messages about credits.
+    pub(super) fn understands_credits(&self) -> bool {
+        self.format > 0
+    }
+}
+
 /// A message from a subscriber to a relay that exchanges crash reports.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum SubscriberMessage {
@@ -41,6 +48,8 @@
     CrashReports(Vec<CrashReport>),
     /// Requests for credits, one for each account.
     CreditRequests(Vec<CreditRequest>),
+    /// Responses of another relay to credit requests.
+    CreditGrants(Vec<CreditGrant>),
     /// Which VMs reach backend servers, as far as the sender knows: itself, or subscribers of another
     /// relay.
     Helpers {
@@ -80,8 +89,11 @@
         /// The zones.
         zones: Vec<ZoneName>,
     },
-    /// Responses to credit requests. Not sent to older versions of the daemon.
+    /// Responses to credit requests. Not sent to older versions of the daemon. Between relays, an
+    /// empty list says that the sender lends and borrows credits.
     CreditGrants(Vec<CreditGrant>),
+    /// Requests for credits to another relay.
+    CreditRequests(Vec<CreditRequest>),
     /// Crash reports, of which the subscriber may hold some already. Between relays, an empty list
     /// is the keep-alive message.
     CrashReports(Vec<CrashReport>),
--- a/components/peers/src/relay/mod.rs
+++ b/components/peers/src/relay/mod.rs
@@ -8,12 +8,14 @@
 
 use std::time::Duration;
 
+mod credits;
 mod helpers;
 mod hub;
 mod messages;
 mod server;
 mod subscription;
 
+pub use credits::CreditConnection;
 pub use hub::{RelayHub, RelayTiming};
 pub use messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
 pub use server::{HELPER_INTERVAL, serve_relay, serve_subscriber};
--- a/components/peers/src/relay/server.rs
+++ b/components/peers/src/relay/server.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, interval, sleep, timeout};
 
+use limits::CreditMessages;
 use observe::{Logger, info, warn};
 
 use crate::relay::SEND_STALL_TIMEOUT;
@@ -56,7 +57,7 @@
         .await
         .map_err(|_| PeerError::TimedOut)??;
     if held.is_relay {
-        return exchange_crash_reports(socket, hub).await;
+        return exchange_with_relay(socket, hub, &held).await;
     }
     let member = hub.join();
     let (missing, mut updates) = hub.subscribe(&held)?;
@@ -70,6 +71,7 @@
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
     let mut crash_feed = hub.crashes.feed();
     let connection = hub.helpers.connect(HelperSource::Subscriber);
+    let mut credits = hub.credits.connect();
     let mut needs_helpers = false;
     loop {
         let message = tokio::select! {
@@ -79,12 +81,16 @@
                 EncodedMessage::new(&RelayMessage::CrashReports(reports))?
             }
             received = socket.receive(), if held.exchanges_crash_reports => {
-                needs_helpers = hub.apply(&connection, received?).unwrap_or(needs_helpers);
+                let needs = hub.apply(&connection, &credits, false, received?);
+                needs_helpers = needs.unwrap_or(needs_helpers);
                 if !needs_helpers {
                     continue;
                 }
                 EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?
             }
+            messages = credits.next() => {
+                EncodedMessage::new(&RelayMessage::CreditGrants(messages.grants))?
+            }
             _ = keep_alive_ticks.tick() => {
                 if needs_helpers {
                     let helpers = EncodedMessage::new(&RelayMessage::Helpers(hub.helpers()))?;
@@ -100,23 +106,43 @@
     }
 }
 
-/// Exchanges crash reports with another relay until the connection ends.
-async fn exchange_crash_reports(
+/// Exchanges crash reports and credits with another relay until the connection ends.
+async fn exchange_with_relay(
     mut socket: CborSocket,
     hub: &RelayHub,
+    held: &HeldVersions,
 ) -> Result<Infallible, PeerError> {
     let mut keep_alive_ticks = interval(hub.timing.keep_alive_interval);
     let mut helper_ticks = interval(HELPER_INTERVAL);
     let mut crash_feed = hub.crashes.feed();
     let connection = hub.helpers.connect(HelperSource::Relay);
+    // An older version of the daemon requests no credits, and must not be requested any.
+    let mut credits = match held.understands_credits() {
+        true => hub.credits.connect_relay(),
+        false => hub.credits.connect(),
+    };
+    if held.understands_credits() {
+        let greeting = EncodedMessage::new(&RelayMessage::CreditGrants(Vec::new()))?;
+        send(&mut socket, &greeting, true).await?;
+    }
     loop {
         let message = tokio::select! {
             biased;
             reports = crash_feed.next() => RelayMessage::CrashReports(reports),
             received = socket.receive() => {
-                hub.apply(&connection, received?);
+                hub.apply(&connection, &credits, true, received?);
                 continue;
             }
+            CreditMessages { requests, grants } = credits.next() => {
+                if !requests.is_empty() {
+                    let message = EncodedMessage::new(&RelayMessage::CreditRequests(requests))?;
+                    send(&mut socket, &message, true).await?;
+                }
+                if grants.is_empty() {
+                    continue;
+                }
+                RelayMessage::CreditGrants(grants)
+            }
             _ = helper_ticks.tick() => RelayMessage::Helpers(hub.own_helpers()),
             _ = keep_alive_ticks.tick() => RelayMessage::CrashReports(Vec::new()),
         };
--- a/components/peers/tests/common/mod.rs
+++ b/components/peers/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use limits::QuotaLimits;
 use model::RevisionNumber;
 use peers::RelayTiming;
 use routes::{CallerLimits, RouteTable, ServiceInfo, ServiceName};
@@ -13,6 +14,7 @@
     budget_window: Duration::from_secs(10),
     max_state_age: Duration::from_millis(1_100),
     share_validity: Duration::from_millis(800),
+    quotas: QuotaLimits { over: 0.1, slack: 20.0, window: Duration::from_secs(5), relays: 3 },
 };
 
 /// Returns a configuration without routes.
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -136,6 +136,7 @@
         RelayMessage::CrashReports(reports) => ("crash reports", reports.len() as u64),
         RelayMessage::Evacuations { version, .. } => ("evacuations", version.number),
         RelayMessage::CreditGrants(grants) => ("credits", grants.len() as u64),
+        RelayMessage::CreditRequests(requests) => ("credit requests", requests.len() as u64),
         RelayMessage::KeepAlive { age_ms, .. } => ("keep-alive", *age_ms),
     };
     received.iter().map(version).collect()
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -21,6 +21,7 @@
     queue_poll_interval, short_retry_delay,
 };
 use board::HostedBoard;
+use limits::Credit;
 use model::{RevisionNumber, ServerId, jittered};
 use observe::HostedMetrics;
 use quarantine::Fingerprint;
@@ -89,6 +90,10 @@
     pub(crate) unsent_attempts: usize,
     /// Whether an attempt may have run the request without a response that could be forwarded.
     pub(crate) may_have_run: bool,
+    /// Whether another VM serves the request.
+    pub(crate) is_served_elsewhere: bool,
+    /// Credit of the request's client account.
+    pub(crate) credit: Option<Credit>,
     pub(crate) last_not_run: Option<NotRunReason>,
     pub(crate) last_unknown: Option<UnknownReason>,
 }
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -51,6 +51,7 @@
     /// Forwards the request to another VM and returns what that responds.
     pub(crate) async fn forward(&mut self) -> Result<ServerResponse, HostedRefusal> {
         self.metrics.forwarded_requests.inc();
+        self.progress.is_served_elsewhere = true;
         for helper in self.helpers.choose(&self.board.helpers(), MAX_HELPERS) {
             let _lease = self.helpers.lease(helper);
             let Some(mut connection) = self.connect_helper(helper).await else {
@@ -138,7 +139,11 @@
         504 => HostedRefusal::DeadlineAfterSend,
         _ if PROMISE_STATUSES.contains(&status) => {
             let retry_delay = (wire.read_notice)(status, headers).rest;
-            HostedRefusal::Shed(retry_delay.unwrap_or(DEFAULT_RETRY_DELAY))
+            let retry_delay = retry_delay.unwrap_or(DEFAULT_RETRY_DELAY);
+            match status {
+                429 => HostedRefusal::OverQuota(retry_delay),
+                _ => HostedRefusal::Shed(retry_delay),
+            }
         }
         _ => HostedRefusal::NoUsableResponse,
     }
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -15,7 +15,7 @@
 use model::ServerId;
 use observe::{HostedMetrics, Logger, RequestOutcome, info, o};
 use quarantine::CrashBoard;
-use routes::{CallerLimits, HostedRoute, RouteTable, WireInterface};
+use routes::{CallerLimits, ClientAccount, HostedRoute, RouteTable, WireInterface};
 
 use crate::body::{BodyError, CallerResponseBody};
 use crate::dispatch::RequestHead;
@@ -25,6 +25,7 @@
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
+use crate::hosted::quota::credit_wait;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::route_stats::RouteStatsTable;
 use crate::hosted::service::HostedServices;
@@ -171,6 +172,10 @@
         }
         progress.service = Some(service.name.clone());
         let body = self.read_body(table, incoming, deadline).await?;
+        let account: Option<&ClientAccount> = None;
+        let wait_until = deadline.min(Instant::now() + credit_wait(route.target_latency));
+        let credit = self.services.quotas.acquire(account, wait_until).await?;
+        progress.credit = credit.credit();
         let request_bytes = body.buffered_bytes() as u64;
         let shape = RequestShape {
             service_time: self.route_stats.service_time(route),
@@ -204,6 +209,10 @@
         let sent_at = Instant::now();
         let result = dispatch.run().await;
         *progress = dispatch.progress;
+        // Another VM that serves the request takes a credit itself.
+        if progress.is_served_elsewhere || result.as_ref().is_err_and(|error| error.is_not_run()) {
+            credit.give_back();
+        }
         if let Some(bytes) = result.as_ref().ok().and_then(|response| response.body_bytes) {
             self.route_stats.record_response_bytes(route, bytes);
         }
@@ -255,6 +264,8 @@
         let fields = o!("id" => id.to_owned(), "route" => route.to_owned(),
             "service" => service.to_owned(), "config" => config_version,
             "sends" => progress.attempts,
+            "credit" => progress.credit.map(|credit| credit.source.to_string()),
+            "credit_left" => progress.credit.map(|credit| credit.left),
             "expected_ms" => progress.expected_time.as_millis() as u64, "ms" => millis);
         match result {
             Ok(response) => info!(self.log, "request: answered"; fields,
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -4,7 +4,7 @@
 //! `listener` reads a request, `handler` finds its route, `dispatch` decides how often and when it
 //! is sent, `selection` selects a server, `attempt` sends it once, and `refusal` builds the
 //! response if there is none from a server. `service` holds the state of each service,
-//! `route_stats` that of each route.
+//! `route_stats` that of each route, `quota` the credits of client accounts.
 
 mod attempt;
 mod contacts;
@@ -14,6 +14,7 @@
 mod handler;
 mod helpers;
 mod listener;
+mod quota;
 mod refusal;
 mod requested_times;
 mod route_stats;
@@ -24,4 +25,5 @@
 pub use attempt::MAX_SEND_DELAY;
 pub use handler::{HostedHandler, HostedOptions};
 pub use listener::HostedListener;
+pub use quota::AccountQuotas;
 pub use service::HostedServices;
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -36,6 +36,9 @@
     /// delay.
     #[display("backend servers refused the request")]
     Shed(Duration),
+    /// The client account has no credit left. Contains the caller's retry delay.
+    #[display("client account is over its quota")]
+    OverQuota(Duration),
     /// The request crashed the servers that ran it. Contains the rest of its quarantine.
     #[display("request crashed the backend servers that ran it")]
     Quarantined(Duration),
@@ -65,6 +68,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfig
             | Self::NoServer
             | Self::Saturated(_)
@@ -78,7 +82,10 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Saturated(delay) | Self::Shed(delay) | Self::Quarantined(delay) => Some(delay),
+            Self::Saturated(delay)
+            | Self::Shed(delay)
+            | Self::OverQuota(delay)
+            | Self::Quarantined(delay) => Some(delay),
             Self::NoConfig | Self::NoServer | Self::DeadlineBeforeSend => Some(DEFAULT_RETRY_DELAY),
             _ => None,
         }
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -22,6 +22,7 @@
 
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
+use crate::hosted::quota::AccountQuotas;
 use crate::hosted::server_access::ServerAccess;
 use crate::pool::{BackendConnection, ConnectionPool};
 
@@ -171,6 +172,8 @@
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
+    /// Credits for requests of client accounts.
+    pub quotas: AccountQuotas,
     /// Other entry VMs that serve requests for this one.
     pub(crate) helpers: Helpers,
     /// Held while services are added, or the slack or the turns of all are changed.
@@ -186,6 +189,7 @@
         options: PlacementOptions,
         limits: AttemptLimits,
         turns: SendTurns,
+        quotas: AccountQuotas,
         board: Arc<HostedBoard>,
         metrics: HostedMetrics,
         log: Logger,
@@ -199,6 +203,7 @@
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
+            quotas,
             helpers: Helpers::default(),
             update_lock: Mutex::new(()),
             metrics,
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -24,7 +24,9 @@
 
 pub use claim_coordinator::{ClaimCoordinator, run_claim_transactions};
 pub use handler::RequestHandler;
-pub use hosted::{HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY};
+pub use hosted::{
+    AccountQuotas, HostedHandler, HostedListener, HostedOptions, HostedServices, MAX_SEND_DELAY,
+};
 pub use listener::{CallerListener, ListenerLimits};
 pub use probe::{PlannedProbe, run_probe};
 pub use refusal::{OUTCOME_HEADER, RequestRefusal, RunOutcome};
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -68,6 +68,9 @@
     /// When a request that crashes its servers is refused, and for how long.
     #[serde(default)]
     pub quarantine: QuarantineSettings,
+    /// How far client accounts may exceed their quotas.
+    #[serde(default)]
+    pub quotas: QuotaSettings,
     /// Minimum level of log records that are written.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -101,6 +104,24 @@
     }
 }
 
+/// How far client accounts may exceed their quotas, summed over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct QuotaSettings {
+    /// Allowed excess as a fraction of the quota.
+    pub over: f64,
+    /// Further requests allowed per window.
+    pub slack: f64,
+    /// Length of the sliding window, in seconds.
+    pub window_s: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { over: 0.1, slack: 0.0, window_s: 1.0 }
+    }
+}
+
 /// Bounds of the platform's promises that times of an entry VM depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostedBounds {
@@ -183,6 +204,12 @@
     FieldRule { name: "time_s", kind: FieldKind::Number(1.0, 86_400.0), is_required: false },
 ];
 
+const QUOTA_FIELDS: &[FieldRule] = &[
+    FieldRule { name: "over", kind: FieldKind::Number(0.0, 10.0), is_required: false },
+    FieldRule { name: "slack", kind: FieldKind::Number(0.0, 1_000_000.0), is_required: false },
+    FieldRule { name: "window_s", kind: FieldKind::Number(0.1, 3_600.0), is_required: false },
+];
+
 const HOSTED_FIELDS: &[FieldRule] = &[
     required("vm", FieldKind::NonEmptyString),
     required("zone", FieldKind::Name),
@@ -204,6 +231,7 @@
         kind: FieldKind::Object(QUARANTINE_FIELDS),
         is_required: false,
     },
+    FieldRule { name: "quotas", kind: FieldKind::Object(QUOTA_FIELDS), is_required: false },
     FieldRule { name: "first_start", kind: FieldKind::Boolean, is_required: false },
     FieldRule {
         name: "cross_zone_requests_per_gb",
--- a/components/settings/tests/hosted.rs
+++ b/components/settings/tests/hosted.rs
@@ -48,6 +48,19 @@
     assert!(report.contains("recovery_s") && report.contains("contact_s"), "{report}");
 }
 
+#[test]
+fn quotas_are_optional_and_checked() {
+    let mut values = hosted_settings();
+    load("no-quotas.json", &values).expect("the settings are valid");
+    values["quotas"] = json!({ "over": 0.1, "slack": 20, "window_s": 5 });
+    let settings = load("quotas.json", &values).expect("the settings are valid");
+    let quotas = settings.quotas;
+    assert_eq!((quotas.over, quotas.slack, quotas.window_s), (0.1, 20.0, 5.0));
+    values["quotas"] = json!({ "over": -1, "window_s": 0 });
+    let report = load("invalid-quotas.json", &values).expect_err("both are out of range");
+    assert!(report.contains("quotas.over") && report.contains("quotas.window_s"), "{report}");
+}
+
 #[test]
 fn quarantine_has_defaults_and_is_checked() {
     let settings = load("no-quarantine.json", &hosted_settings()).expect("the settings are valid");
