--- a/components/proxy/src/hosted/quota.rs
+++ b/components/proxy/src/hosted/quota.rs
@@ -3,7 +3,7 @@
 //! A request waits for the response of this VM's relay. Requests of accounts without a quota are
 //! forwarded without any of this.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use futures_util::future::OptionFuture;
@@ -37,19 +37,19 @@
 pub(crate) struct CreditGuard<'a> {
     quotas: &'a AccountQuotas,
     /// Account and credit; `None` if the request needs none.
-    credit: Option<(&'a str, Credit)>,
+    credit: Option<(Arc<ClientAccount>, Credit)>,
 }
 
 impl CreditGuard<'_> {
     /// Returns the credit; `None` if the request needs none.
     pub(crate) fn credit(&self) -> Option<Credit> {
-        self.credit.map(|(_, credit)| credit)
+        self.credit.as_ref().map(|(_, credit)| *credit)
     }
 
     /// Gives back the credit of a request that has certainly not run.
     pub(crate) fn give_back(self) {
         if let Some((account, credit)) = self.credit {
-            self.quotas.queue().give_back(account, credit, Instant::now());
+            self.quotas.queue().give_back(&account.name.0, credit, Instant::now());
         }
     }
 }
@@ -109,12 +109,13 @@
     }
 
     /// Takes a credit for one request of an account, for which it waits until `wait_until`.
-    pub(crate) async fn acquire<'a>(
-        &'a self,
-        account: Option<&'a ClientAccount>,
+    pub(crate) async fn acquire(
+        &self,
+        account: Option<Arc<ClientAccount>>,
         wait_until: Instant,
-    ) -> Result<CreditGuard<'a>, HostedRefusal> {
-        let Some((account, quota)) = account.and_then(|account| Some((account, account.quota?)))
+    ) -> Result<CreditGuard<'_>, HostedRefusal> {
+        let Some((account, quota)) =
+            account.and_then(|account| account.quota.map(|quota| (account, quota)))
         else {
             return Ok(CreditGuard { quotas: self, credit: None });
         };
@@ -127,7 +128,7 @@
         self.metrics.count_credit(name, matches!(decision, CreditDecision::Granted(_)));
         match decision {
             CreditDecision::Granted(credit) => {
-                Ok(CreditGuard { quotas: self, credit: Some((name, credit)) })
+                Ok(CreditGuard { quotas: self, credit: Some((account, credit)) })
             }
             CreditDecision::Refused(delay) => Err(HostedRefusal::OverQuota(delay)),
         }
