--- a/components/peers/src/relay/messages.rs
+++ b/components/peers/src/relay/messages.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use limits::{CreditGrant, CreditRequest};
 use model::{StoreVersion, ZoneName};
 use quarantine::CrashReport;
 use routes::{RouteTable, ServerChange, ServerRecord};
@@ -33,24 +34,11 @@
     pub evacuations: Option<StoreVersion>,
 }
 
-/// Requests of a client account.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CreditRequest {
-    /// Name of the account.
-    pub account: Box<str>,
-    /// Number of requests that wait for a credit.
-    pub count: u32,
-}
-
-/// Response to a credit request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CreditGrant {
-    /// Name of the account.
-    pub account: Box<str>,
-    /// Number of requests that may be forwarded; at most the requested number.
-    pub count: u32,
-    /// Milliseconds until there will be credit again, if not all requests got one.
-    pub retry_after_ms: u32,
+impl HeldVersions {
+    /// Whether the sender understands messages about credits.
+    pub(super) fn understands_credits(&self) -> bool {
+        self.format > 0
+    }
 }
 
 /// A message from a subscriber to a relay that exchanges crash reports.
@@ -60,6 +48,8 @@
     CrashReports(Vec<CrashReport>),
     /// Requests for credits, one for each account.
     CreditRequests(Vec<CreditRequest>),
+    /// Responses of another relay to credit requests.
+    CreditGrants(Vec<CreditGrant>),
     /// Which VMs reach backend servers, as far as the sender knows: itself, or subscribers of another
     /// relay.
     Helpers {
@@ -99,8 +89,11 @@
         /// The zones.
         zones: Vec<ZoneName>,
     },
-    /// Responses to credit requests. Not sent to older versions of the daemon.
+    /// Responses to credit requests. Not sent to older versions of the daemon. Between relays, an
+    /// empty list says that the sender lends and borrows credits.
     CreditGrants(Vec<CreditGrant>),
+    /// Requests for credits to another relay.
+    CreditRequests(Vec<CreditRequest>),
     /// Crash reports, of which the subscriber may hold some already. Between relays, an empty list
     /// is the keep-alive message.
     CrashReports(Vec<CrashReport>),
--- a/components/peers/src/relay/mod.rs
+++ b/components/peers/src/relay/mod.rs
@@ -8,16 +8,16 @@
 
 use std::time::Duration;
 
+mod credits;
 mod helpers;
 mod hub;
 mod messages;
 mod server;
 mod subscription;
 
+pub use credits::CreditConnection;
 pub use hub::{RelayHub, RelayTiming};
-pub use messages::{
-    CreditGrant, CreditRequest, HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns,
-};
+pub use messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
 pub use server::{HELPER_INTERVAL, serve_relay, serve_subscriber};
 pub use subscription::RelaySubscription;
 
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -4,7 +4,7 @@
 //! `listener` reads a request, `handler` finds its route, `identity` its client account, `dispatch` decides how often and when it
 //! is sent, `selection` selects a server, `attempt` sends it once, and `refusal` builds the
 //! response if there is none from a server. `service` holds the state of each service,
-//! `route_stats` that of each route.
+//! `route_stats` that of each route, `quota` the credits of client accounts.
 
 mod attempt;
 mod contacts;
@@ -15,6 +15,7 @@
 mod helpers;
 mod identity;
 mod listener;
+mod quota;
 mod refusal;
 mod requested_times;
 mod route_stats;
@@ -25,4 +26,5 @@
 pub use attempt::MAX_SEND_DELAY;
 pub use handler::{HostedHandler, HostedOptions};
 pub use listener::HostedListener;
+pub use quota::AccountQuotas;
 pub use service::HostedServices;
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -44,6 +44,9 @@
     /// delay.
     #[display("backend servers refused the request")]
     Shed(Duration),
+    /// The client account has no credit left. Contains the caller's retry delay.
+    #[display("client account is over its quota")]
+    OverQuota(Duration),
     /// The request crashed the servers that ran it. Contains the rest of its quarantine.
     #[display("request crashed the backend servers that ran it")]
     Quarantined(Duration),
@@ -74,6 +77,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfig
             | Self::AccountChanged
             | Self::NoServer
@@ -88,7 +92,10 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Saturated(delay) | Self::Shed(delay) | Self::Quarantined(delay) => Some(delay),
+            Self::Saturated(delay)
+            | Self::Shed(delay)
+            | Self::OverQuota(delay)
+            | Self::Quarantined(delay) => Some(delay),
             Self::NoConfig | Self::AccountChanged | Self::NoServer | Self::DeadlineBeforeSend => {
                 Some(DEFAULT_RETRY_DELAY)
             }
