Evacuated availability zones get no requests, probes or connections

Change: the rows are parsed in platform/, kept with their store version in routes::EvacuatedZones (a listing replaces, changes amend, an older version is ignored, zones that an older copy of the store lacks stay for the retention of lapsed entries), and sent by relays before configuration and server list. A relay confirms nothing before it has published them; a VM is ready only when it holds them. A subscriber leaves a relay of an older format, and older subscribers get no message that they don't know. A placement group withdraws the servers of these zones and keeps their state; queued requests are woken when no server is left. Crash checks open no connections there.

Ruled out: marking the records as leaving (their state would be lost), evacuations inside the configuration message (each would send all routes again), no message while no zone is evacuated ("none" can't be told from "not yet known").

Tests of peers: their relays publish evacuations (none) before they confirm, as the daemon does; no expectation changed.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -108,8 +108,12 @@
 pub struct PlacementGroup {
     options: PlacementOptions,
     servers: Vec<(u64, ServerState)>,
+    /// Indexes of the servers in zones that aren't evacuated, ascending. The others have no part in
+    /// the choice of servers.
+    open: Vec<usize>,
     /// Sorted indexes of this entry VM's preferred servers; empty in a small group, where all are.
     preferred: Vec<usize>,
+    evacuated_zones: Vec<ZoneName>,
     next_serial: u64,
     model: GroupModel,
     zone_latencies: ZoneLatencies,
@@ -132,7 +136,9 @@
         Self {
             options,
             servers: Vec::new(),
+            open: Vec::new(),
             preferred: Vec::new(),
+            evacuated_zones: Vec::new(),
             next_serial: 0,
             model: GroupModel::default(),
             zone_latencies: ZoneLatencies::default(),
@@ -225,12 +231,14 @@
         effect
     }
 
-    /// Whether a server has withdrawn, by the list or by its own word, and must get no request now.
+    /// Whether a server has withdrawn, by the list or by its own word, or its zone is evacuated, so
+    /// that it must get no request now.
     pub fn is_withdrawn(&self, ticket: ServerTicket, now: Instant) -> bool {
         self.state(ticket).is_none_or(|state| state.is_withdrawn(now))
     }
 
-    /// Returns when the first server accepts a request again; `None` if all are leaving.
+    /// Returns when the first server accepts a request again; `None` if all are leaving or in
+    /// evacuated zones.
     pub fn first_return(&self, now: Instant) -> Option<FirstReturn> {
         let returns = self
             .servers
@@ -275,6 +283,7 @@
             let (serial, state) = previous_state.unwrap_or_else(|| {
                 let mut state = ServerState::new(server.clone(), self.typical_slowness);
                 state.said_leaving = self.leaving.contains(server);
+                state.is_evacuated = self.evacuated_zones.contains(&server.zone);
                 (self.next_serial, state)
             });
             self.next_serial = self.next_serial.max(serial + 1);
@@ -283,14 +292,46 @@
         self.select_preferred();
     }
 
-    /// Selects this entry VM's preferred servers by rendezvous hashing, those of its zone first.
+    /// Replaces the evacuated zones. Their servers get no requests and no probes, and keep their
+    /// state.
+    pub fn set_evacuated_zones(&mut self, zones: &[ZoneName], now: Instant) {
+        self.evacuated_zones = zones.to_vec();
+        for (_, state) in &mut self.servers {
+            state.set_evacuated(zones.contains(&state.listed.zone), now);
+        }
+        self.select_preferred();
+    }
+
+    /// Returns the number of servers in zones that aren't evacuated.
+    pub fn open_servers(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns when the last evacuation of a server's zone ended; `None` if there was none since the
+    /// server was listed.
+    pub fn returned_from_evacuation_at(&self, ticket: ServerTicket) -> Option<Instant> {
+        self.state(ticket)?.returned_from_evacuation_at
+    }
+
+    /// Whether the zone of a listed incarnation is evacuated.
+    pub fn is_incarnation_evacuated(&self, incarnation: &ServerIncarnation) -> bool {
+        let mut states = self.servers.iter().map(|(_, state)| state);
+        states.any(|state| state.is_evacuated && state.listed.key() == incarnation.key())
+    }
+
+    /// Finds the servers outside of evacuated zones, and selects this entry VM's preferred servers
+    /// among them by rendezvous hashing, those of its zone first.
     /// When a server joins or leaves, few of them change.
     fn select_preferred(&mut self) {
-        let is_large = self.servers.len() > LARGE_GROUP_THRESHOLD;
+        self.open.clear();
+        let servers = self.servers.iter().enumerate();
+        self.open
+            .extend(servers.filter(|(_, (_, state))| !state.is_evacuated).map(|(index, _)| index));
+        let is_large = self.open.len() > LARGE_GROUP_THRESHOLD;
         let mut ranks: Vec<(bool, u64, usize)> = Vec::new();
         for (index, (_, state)) in self.servers.iter_mut().enumerate() {
             state.is_preferred = !is_large;
-            if is_large && !state.is_leaving() {
+            if is_large && !state.is_leaving() && !state.is_evacuated {
                 let is_other_zone = state.listed.zone != self.options.zone;
                 ranks.push((
                     is_other_zone,
@@ -309,8 +350,8 @@
     }
 
     /// Returns up to `count` servers with the lowest estimated cost for a request, lowest first.
-    /// Leaving servers, those whose limit allows no request now, and those in `excluded` are
-    /// skipped; ejected ones are used if no other is left.
+    /// Leaving servers, those in evacuated zones, those whose limit allows no request now, and those
+    /// in `excluded` are skipped; ejected ones are used if no other is left.
     pub fn candidates(
         &self,
         count: usize,
@@ -337,14 +378,14 @@
         random: &mut impl Rng,
         is_eligible: impl Fn(&ServerState) -> bool,
     ) -> Vec<ServerTicket> {
-        let total = self.servers.len();
+        let total = self.open.len();
         let compared = total.min(MAX_CANDIDATES);
         let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared);
         for offset in 0..compared {
             let index = match (total <= MAX_CANDIDATES, self.preferred.get(offset)) {
-                (true, _) => offset,
+                (true, _) => self.open[offset],
                 (false, Some(preferred)) => *preferred,
-                (false, None) => random.random_range(0..total),
+                (false, None) => self.open[random.random_range(0..total)],
             };
             let (serial, state) = &self.servers[index];
             let ticket = ServerTicket { index, serial: *serial };
@@ -550,9 +591,9 @@
         })
     }
 
-    /// Returns the addresses of all servers.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.servers.iter().map(|(_, state)| state.listed.address).collect()
+    /// Returns the addresses of the servers in zones that aren't evacuated.
+    pub fn open_addresses(&self) -> Vec<SocketAddr> {
+        self.open.iter().map(|index| self.servers[*index].1.listed.address).collect()
     }
 
     /// Returns the age of a server's last report.
@@ -579,9 +620,9 @@
     }
 
     fn is_ejection_allowed(&self, now: Instant) -> bool {
-        let ejected =
-            self.servers.iter().filter(|(_, state)| state.failures.is_ejected(now)).count();
-        (ejected + 1) as f64 <= self.servers.len() as f64 * MAX_EJECTED_RATIO
+        let is_ejected = |index: &&usize| self.servers[**index].1.failures.is_ejected(now);
+        let ejected = self.open.iter().filter(is_ejected).count();
+        (ejected + 1) as f64 <= self.open.len() as f64 * MAX_EJECTED_RATIO
     }
 }
 
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -103,6 +103,10 @@
     pub(crate) limit: Option<NamedLimit>,
     /// Whether this incarnation said that it leaves.
     pub(crate) said_leaving: bool,
+    /// Whether the server's zone is evacuated.
+    pub(crate) is_evacuated: bool,
+    /// When the last evacuation of the server's zone ended.
+    pub(crate) returned_from_evacuation_at: Option<Instant>,
     /// Time until which the server wants no requests.
     pub(crate) rest_until: Option<Instant>,
     /// Whether it is a preferred server of this entry VM; always true in a small group.
@@ -119,6 +123,8 @@
             failures: FailureHistory::new(),
             limit: None,
             said_leaving: false,
+            is_evacuated: false,
+            returned_from_evacuation_at: None,
             rest_until: None,
             is_preferred: true,
         }
@@ -130,9 +136,9 @@
             && self.limit.as_ref().is_none_or(|limit| limit.wait(turns, now).is_zero())
     }
 
-    /// Whether the server wants neither requests nor probes now.
+    /// Whether the server must get neither requests nor probes now.
     pub(crate) fn is_withdrawn(&self, now: Instant) -> bool {
-        self.is_leaving() || self.rest_until.is_some_and(|until| now < until)
+        self.is_leaving() || self.is_evacuated || self.rest_until.is_some_and(|until| now < until)
     }
 
     /// Whether the server is leaving, by its list entry or by its own word.
@@ -153,13 +159,21 @@
         is_longer
     }
 
-    /// Returns when the server accepts a request again; `None` if it leaves.
+    /// Records whether the server's zone is evacuated. All that is known of the server stays.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool, now: Instant) {
+        if self.is_evacuated && !is_evacuated {
+            self.returned_from_evacuation_at = Some(now);
+        }
+        self.is_evacuated = is_evacuated;
+    }
+
+    /// Returns when the server accepts a request again; `None` if it leaves or its zone is evacuated.
     pub(crate) fn next_request(
         &self,
         turns: Option<&SendTurns>,
         now: Instant,
     ) -> Option<FirstReturn> {
-        if self.is_leaving() {
+        if self.is_leaving() || self.is_evacuated {
             return None;
         }
         let limited_until = now + self.limit.map_or(Duration::ZERO, |limit| limit.wait(turns, now));
--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -18,7 +18,9 @@
     routes: ArcSwapOption<RouteTable>,
     /// Whether a list of backend servers has been received.
     has_server_list: AtomicBool,
-    /// Wakes tasks that wait for the first configuration and the first list of backend servers.
+    /// Whether the evacuated zones have been received, of which there may be none.
+    has_evacuations: AtomicBool,
+    /// Wakes tasks that wait for the first configuration, evacuations and list of backend servers.
     sync_notify: Notify,
     /// Whether this entry VM is shutting down.
     is_draining: AtomicBool,
@@ -57,18 +59,25 @@
         self.sync_notify.notify_waiters();
     }
 
+    /// Records that the evacuated zones have been received.
+    pub fn mark_evacuations_received(&self) {
+        self.has_evacuations.store(true, Ordering::Release);
+        self.sync_notify.notify_waiters();
+    }
+
     /// Returns the configuration in force. After startup this waits up to `max_wait` for the first
-    /// configuration and the first list of backend servers.
+    /// configuration, evacuations and list of backend servers. Returns `None` without evacuations:
+    /// a request could be sent to an evacuated zone.
     pub async fn wait_for_routes(&self, max_wait: Duration) -> Option<Arc<RouteTable>> {
         if !self.is_synced() {
             // On a timeout the routes are returned as they are; without any the caller refuses the
             // request.
             let _ = timeout(max_wait, self.wait_until_synced()).await;
         }
-        self.routes()
+        self.routes().filter(|_| self.has_evacuations())
     }
 
-    /// Waits until a configuration and a list of backend servers have been received.
+    /// Waits until a configuration, evacuations and a list of backend servers have been received.
     async fn wait_until_synced(&self) {
         loop {
             let notified = self.sync_notify.notified();
@@ -82,7 +91,13 @@
     }
 
     fn is_synced(&self) -> bool {
-        self.has_server_list.load(Ordering::Acquire) && self.routes.load().is_some()
+        self.has_server_list.load(Ordering::Acquire)
+            && self.has_evacuations()
+            && self.routes.load().is_some()
+    }
+
+    fn has_evacuations(&self) -> bool {
+        self.has_evacuations.load(Ordering::Acquire)
     }
 
     /// Marks this entry VM as shutting down.
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -16,6 +16,8 @@
 use quarantine::CrashBoard;
 use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRegistry};
 
+use crate::hosted::evacuations::EvacuationState;
+
 /// Where a configuration came from.
 pub(crate) struct ConfigSource {
     /// The store, or the address of a relay.
@@ -61,6 +63,7 @@
     pub(crate) log: Logger,
     /// Whether this VM reads the store itself because no relay has a fresh state.
     is_without_relay: AtomicBool,
+    pub(super) evacuations: EvacuationState,
     servers: Mutex<ServerListState>,
     /// Notified when the list of servers has changed.
     servers_changed: Notify,
@@ -77,6 +80,7 @@
         log: Logger,
     ) -> Self {
         let registry = ServerRegistry::new(lapsed_retention);
+        metrics.evacuated_zones.set(-1);
         Self {
             board,
             services,
@@ -85,6 +89,7 @@
             metrics,
             log,
             is_without_relay: AtomicBool::new(false),
+            evacuations: EvacuationState::new(lapsed_retention),
             servers: Mutex::new(ServerListState { registry, version: None }),
             servers_changed: Notify::new(),
         }
@@ -110,7 +115,7 @@
             exchanges_crash_reports: true,
             is_relay: false,
             format: CONFIG_FORMAT,
-            evacuations: None,
+            evacuations: self.evacuations.version(),
         }
     }
 
@@ -206,7 +211,7 @@
         }
     }
 
-    fn log_encode_failure(&self, encoded: Result<(), PeerError>) {
+    pub(super) fn log_encode_failure(&self, encoded: Result<(), PeerError>) {
         if let Err(error) = encoded {
             warn!(self.log, "relay: can't encode an update for subscribers"; "reason" => %error);
         }
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -8,16 +8,21 @@
 use tokio::sync::{Mutex, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use model::jittered;
+use model::{StoreVersion, jittered};
 use observe::{debug, warn};
-use platform::{PlatformStore, TableName, TableRow, parse_config_row, parse_server_row};
-use routes::ServerChange;
+use platform::{
+    PlatformStore, TableName, TableRow, parse_config_row, parse_evacuation_row, parse_server_row,
+};
+use routes::{EvacuationChange, ServerChange};
 
 use crate::hosted::crash_store::CrashStore;
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
 use crate::hosted::relay_subscriber::RelaySubscriber;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
 
+/// Source of updates that were read from the store, in log lines.
+const STORE_SOURCE: &str = "store";
+
 /// Client of the store and timing of its calls.
 #[derive(Clone)]
 pub(crate) struct StoreCallConfig {
@@ -127,11 +132,12 @@
         let mut watcher =
             TableWatcher::new(&self.call_config, metrics, log, TableName::Operator, None);
         loop {
-            let Some((_, TableUpdate::Listed(rows) | TableUpdate::Changed(rows))) =
-                watcher.next_update().await
-            else {
+            let Some((version, update)) = watcher.next_update().await else {
                 continue;
             };
+            // Before the configuration, which may make this VM ready.
+            self.apply_evacuations(version, &update);
+            let (TableUpdate::Listed(rows) | TableUpdate::Changed(rows)) = update;
             for row in &rows {
                 self.apply_config_row(row);
             }
@@ -144,10 +150,31 @@
         }
     }
 
+    fn apply_evacuations(&self, version: StoreVersion, update: &TableUpdate) {
+        let (TableUpdate::Listed(rows) | TableUpdate::Changed(rows)) = update;
+        let mut changes = Vec::new();
+        for row in rows {
+            match parse_evacuation_row(row) {
+                Ok(change) => changes.extend(change),
+                Err(error) => self.log_invalid_row(&error),
+            }
+        }
+        match update {
+            TableUpdate::Listed(_) => {
+                let listed = changes.into_iter().filter_map(EvacuationChange::into_started);
+                self.view.apply_evacuations(version, &listed.collect::<Vec<_>>(), STORE_SOURCE);
+            }
+            TableUpdate::Changed(_) if changes.is_empty() => {}
+            TableUpdate::Changed(_) => {
+                self.view.apply_evacuation_changes(version, changes, STORE_SOURCE);
+            }
+        }
+    }
+
     fn apply_config_row(&self, row: &TableRow) {
         match parse_config_row(row) {
             Ok(Some(table)) => {
-                let source = ConfigSource { name: "store".into(), confirmed_at: None };
+                let source = ConfigSource { name: STORE_SOURCE.into(), confirmed_at: None };
                 self.view.apply_config(table, &source);
             }
             Ok(None) => {}
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -15,7 +15,7 @@
 use peers::{
     MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
 };
-use routes::ServerChange;
+use routes::{CONFIG_FORMAT, ServerChange};
 use settings::HostedTiming;
 
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
@@ -42,6 +42,8 @@
     EarlierEra(u64),
     #[display("a change of the server list is missing")]
     MissingChange,
+    #[display("relay's configuration is of an older format: {_0}")]
+    OlderFormat(u32),
 }
 
 impl RelaySubscriber {
@@ -137,6 +139,9 @@
                 Ok(None) => continue,
                 Err(error) => return SubscriptionEnd::Failed(error),
             };
+            if let Some(format) = older_format(&message) {
+                return SubscriptionEnd::OlderFormat(format);
+            }
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
@@ -178,7 +183,10 @@
     ) -> Option<SubscriptionEnd> {
         let view = &self.view;
         match message {
-            RelayMessage::Evacuations { .. } | RelayMessage::CreditGrants(_) => {}
+            RelayMessage::Evacuations { version, zones } => {
+                view.apply_evacuations(version, &zones, &source.name);
+            }
+            RelayMessage::CreditGrants(_) => {}
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
@@ -210,6 +218,17 @@
     }
 }
 
+/// Returns the format of a relay's configuration that lacks parts which this VM must not take for
+/// absent. The relay knows nothing of the evacuations either, and must confirm no state.
+fn older_format(message: &RelayMessage) -> Option<u32> {
+    let format = match message {
+        RelayMessage::Config(table) => table.format,
+        RelayMessage::KeepAlive { format, .. } => *format,
+        _ => return None,
+    };
+    (format < CONFIG_FORMAT).then_some(format)
+}
+
 /// Returns the turns that a relay assigned at `sent_at`, for `validity`.
 pub(crate) fn assigned_turns(
     turns: &SubscriberTurns,
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -113,6 +113,8 @@
         background.spawn(own_membership.run());
     }
     background.spawn(new_platform_watcher(&settings, &timing, &view).run());
+    let expiring_view = Arc::clone(&view);
+    background.spawn(async move { expiring_view.run_evacuation_expiry().await });
     background.spawn(async move { view.run_server_expiry().await });
     background.spawn(sweep_idle_connections(Arc::clone(&services)));
     background.spawn(log_settings_reloads(path, settings.clone(), log.clone()));
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -45,6 +45,8 @@
     pub store_era: IntGauge,
     /// Number of known backend servers.
     pub servers: IntGauge,
+    /// Number of evacuated availability zones; -1 until they are known.
+    pub evacuated_zones: IntGauge,
 }
 
 impl Default for HostedMetrics {
@@ -115,6 +117,10 @@
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
             store_era: gauge("mustardrail_store_era", "Newest era of the store."),
             servers: gauge("mustardrail_servers", "Backend servers known."),
+            evacuated_zones: gauge(
+                "mustardrail_evacuated_zones",
+                "Availability zones that are evacuated; -1 until they are known.",
+            ),
             requests,
             request_seconds,
             registry,
--- a/components/peers/src/relay/hub.rs
+++ b/components/peers/src/relay/hub.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use limits::{MemberId, ShareLedger, share_divisor};
-use model::StoreVersion;
+use model::{StoreVersion, ZoneName};
 use quarantine::CrashBoard;
 use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRecord};
 
@@ -49,10 +49,30 @@
     pub(super) crashes: Arc<CrashBoard>,
     pub(super) helpers: HelperSet,
     state: Mutex<HubState>,
-    updates: broadcast::Sender<EncodedMessage>,
+    updates: broadcast::Sender<HubUpdate>,
 }
 
+/// A message to the subscribers.
+#[derive(Debug, Clone)]
+pub(super) struct HubUpdate {
+    /// Lowest format of subscribers that know the message. Others must not receive it: an unknown
+    /// message ends the connection.
+    pub(super) min_format: u32,
+    pub(super) message: EncodedMessage,
+}
+
+impl HubUpdate {
+    /// Creates a message that all versions of the daemon know.
+    fn for_all(message: EncodedMessage) -> Self {
+        Self { min_format: 0, message }
+    }
+}
+
+/// Format from which subscribers know evacuations and credits.
+const EVACUATIONS_FORMAT: u32 = 1;
+
 struct HubState {
+    evacuations: Option<LatestMessage<StoreVersion>>,
     config: Option<LatestMessage<u64>>,
     servers: Option<LatestMessage<StoreVersion>>,
     /// Invariant: each entry starts at the version at which the previous one ends; the last ends at
@@ -98,7 +118,7 @@
     message: EncodedMessage,
 }
 
-/// The latest message of one kind: the configuration or the server list.
+/// The latest message of one kind: the evacuations, the configuration or the server list.
 struct LatestMessage<V> {
     version: V,
     message: RelayMessage,
@@ -171,6 +191,7 @@
         let now = Instant::now();
         let retention = timing.budget_window + timing.share_validity;
         let mut state = HubState {
+            evacuations: None,
             config: None,
             servers: None,
             changes: VecDeque::new(),
@@ -193,7 +214,7 @@
         }
     }
 
-    /// Records that the store confirmed the configuration.
+    /// Records that the store confirmed the configuration and the evacuations.
     pub fn confirm_config(&self, now: Instant) {
         self.state().config_confirmed_at = Some(now);
     }
@@ -210,12 +231,30 @@
         self.state().is_store_unreachable = true;
     }
 
+    /// Sends the evacuated zones at a version of the store to the subscribers that know the message,
+    /// and keeps them for later ones.
+    pub fn publish_evacuations(
+        &self,
+        version: StoreVersion,
+        zones: Vec<ZoneName>,
+    ) -> Result<(), PeerError> {
+        let message = RelayMessage::Evacuations { version, zones };
+        let mut latest = LatestMessage::new(version, message);
+        let mut state = self.state();
+        if self.updates.receiver_count() > 0 {
+            let message = latest.encode()?;
+            self.broadcast(HubUpdate { min_format: EVACUATIONS_FORMAT, message });
+        }
+        state.evacuations = Some(latest);
+        Ok(())
+    }
+
     /// Sends a configuration to the subscribers and keeps it for later ones.
     pub fn publish_config(&self, table: &RouteTable) -> Result<(), PeerError> {
         let mut latest = LatestMessage::new(table.version.0, RelayMessage::Config(table.clone()));
         let mut state = self.state();
         if self.updates.receiver_count() > 0 {
-            self.broadcast(latest.encode()?);
+            self.broadcast(HubUpdate::for_all(latest.encode()?));
         }
         state.config = Some(latest);
         Ok(())
@@ -236,13 +275,13 @@
             Some((after, changes)) => {
                 let message =
                     EncodedMessage::new(&RelayMessage::Changes { after, version, changes })?;
-                self.broadcast(message.clone());
+                self.broadcast(HubUpdate::for_all(message.clone()));
                 state.push_changes(EncodedChanges { after, version, message });
             }
             None => {
                 state.changes.clear();
                 if self.updates.receiver_count() > 0 {
-                    self.broadcast(latest.encode()?);
+                    self.broadcast(HubUpdate::for_all(latest.encode()?));
                 }
             }
         }
@@ -250,11 +289,11 @@
         Ok(())
     }
 
-    /// Sends a message to all subscribers. The caller holds the state lock, so that a new
+    /// Sends a message to the subscribers that know it. The caller holds the state lock, so that a new
     /// subscriber receives each message once and in order.
-    fn broadcast(&self, message: EncodedMessage) {
+    fn broadcast(&self, update: HubUpdate) {
         // The send fails only if no subscriber is left.
-        let _ = self.updates.send(message);
+        let _ = self.updates.send(update);
     }
 
     /// Returns the number of equal shares of its part of a fleet-wide budget of which the relay
@@ -284,17 +323,17 @@
         MembershipGuard { hub: self, membership: self.state().join(Instant::now()) }
     }
 
-    /// Returns a keep-alive message for a subscriber; `None` until the store has confirmed both the
-    /// configuration and the server list, and while updates are queued for the subscriber: it would
+    /// Returns a keep-alive message for a subscriber; `None` until the evacuations are published and
+    /// the store has confirmed both the configuration and the server list, and while updates are queued for the subscriber: it would
     /// take the state without them for confirmed.
     pub(super) fn keep_alive(
         &self,
-        updates: &broadcast::Receiver<EncodedMessage>,
+        updates: &broadcast::Receiver<HubUpdate>,
         membership: &Membership,
         now: Instant,
     ) -> Option<RelayMessage> {
         let mut state = self.state();
-        if !updates.is_empty() {
+        if !updates.is_empty() || state.evacuations.is_none() {
             return None;
         }
         let oldest_confirmed_at = state.config_confirmed_at?.min(state.servers_confirmed_at?);
@@ -314,7 +353,7 @@
     /// Returns a keep-alive message if the relay's state is so old that subscribers leave it.
     pub(super) fn stale_keep_alive(
         &self,
-        updates: &broadcast::Receiver<EncodedMessage>,
+        updates: &broadcast::Receiver<HubUpdate>,
         membership: &Membership,
         now: Instant,
     ) -> Result<Option<EncodedMessage>, PeerError> {
@@ -327,13 +366,18 @@
         }
     }
 
-    /// Returns the messages that a new subscriber lacks, and a receiver of later ones.
+    /// Returns the messages that a new subscriber lacks, the evacuations first, and a receiver of later ones.
     pub(super) fn subscribe(
         &self,
         held: &HeldVersions,
-    ) -> Result<(Vec<EncodedMessage>, broadcast::Receiver<EncodedMessage>), PeerError> {
+    ) -> Result<(Vec<EncodedMessage>, broadcast::Receiver<HubUpdate>), PeerError> {
         let mut state = self.state();
         let mut missing = Vec::new();
+        if let Some(latest) = state.evacuations.as_mut().filter(|latest| {
+            held.format >= EVACUATIONS_FORMAT && held.evacuations < Some(latest.version)
+        }) {
+            missing.push(latest.encode()?);
+        }
         if let Some(latest) =
             state.config.as_mut().filter(|latest| held.config < Some(latest.version))
         {
--- a/components/peers/src/relay/server.rs
+++ b/components/peers/src/relay/server.rs
@@ -74,7 +74,13 @@
     loop {
         let message = tokio::select! {
             biased;
-            message = updates.recv() => message.map_err(|error| connection_ended(&error))?,
+            update = updates.recv() => {
+                let update = update.map_err(|error| connection_ended(&error))?;
+                if held.format < update.min_format {
+                    continue;
+                }
+                update.message
+            }
             reports = crash_feed.next(), if held.exchanges_crash_reports => {
                 EncodedMessage::new(&RelayMessage::CrashReports(reports))?
             }
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -66,6 +66,10 @@
         let address = listener.local_addr().expect("a bound socket has an address");
         tokio::spawn(serve_relay(listener, Arc::clone(&hub), Logger::root(Discard, o!())));
         let relay = Self { hub, address };
+        relay
+            .hub
+            .publish_evacuations(StoreVersion::without_era(100), Vec::new())
+            .expect("zones can be encoded");
         relay.hub.publish_config(&route_table(7)).expect("a table can be encoded");
         relay
             .hub
--- a/components/peers/tests/transfers.rs
+++ b/components/peers/tests/transfers.rs
@@ -46,6 +46,8 @@
 
 fn new_hub() -> Arc<RelayHub> {
     let hub = Arc::new(RelayHub::new(TIMING, true, Arc::default()));
+    hub.publish_evacuations(StoreVersion::without_era(1), Vec::new())
+        .expect("zones can be encoded");
     hub.publish_config(&route_table(1, 1)).expect("a table can be encoded");
     hub.publish_servers(StoreVersion::without_era(1), Vec::new(), None)
         .expect("a list can be encoded");
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -65,7 +65,8 @@
     /// This VM may have no further connection to the server.
     #[display("no-connection")]
     NoConnection,
-    /// The server said that it leaves, or wants no requests, after it was selected.
+    /// The server said that it leaves, or wants no requests, or its zone was evacuated, after it was
+    /// selected.
     #[display("withdrawn")]
     Withdrawn,
 }
--- a/components/proxy/src/hosted/crash_detector.rs
+++ b/components/proxy/src/hosted/crash_detector.rs
@@ -187,6 +187,10 @@
     }
 
     async fn check_server(&self, server: &BrokenServer) -> CheckResult {
+        if server.service.group().is_incarnation_evacuated(&server.incarnation) {
+            // Only the list tells whether it was replaced.
+            return CheckResult::Unknown;
+        }
         let (service, address) = (&server.service, server.incarnation.address);
         let opening = service.pool.open(address, service.connection_limit());
         let mut connection = match timeout(CHECK_TIMEOUT, opening).await {
@@ -199,6 +203,9 @@
             }
             _ => return CheckResult::Unknown,
         };
+        if server.service.group().is_incarnation_evacuated(&server.incarnation) {
+            return CheckResult::Unknown;
+        }
         let path = server.health_path.as_deref();
         let Some(request) = path.and_then(|path| probe_request(address, path)) else {
             return CheckResult::Unknown;
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -13,7 +13,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use balance::{
     AdmissionDecision, FirstReturn, HEDGE_RETRY_INTERVAL, RequestShape, RequestTimes,
@@ -330,7 +330,8 @@
     async fn pause_after_unsent_attempts(&self) {
         let unsent = self.progress.unsent_attempts;
         if unsent >= FREE_UNSENT_ATTEMPTS {
-            sleep(jittered(queue_poll_interval(unsent, self.shape))).await;
+            let until = Instant::now() + jittered(queue_poll_interval(unsent, self.shape));
+            self.service.wait_in_queue(until).await;
         }
     }
 
@@ -377,7 +378,7 @@
                 let queued = queued.get_or_insert_with(|| service.queue_request());
                 let poll_at =
                     Instant::now() + jittered(queue_poll_interval(queued.count(), self.shape));
-                sleep_until(next_request_at.max(poll_at)).await;
+                service.wait_in_queue(next_request_at.max(poll_at)).await;
                 continue;
             };
             self.progress.expected_time = server.estimate.expected_time();
@@ -392,7 +393,9 @@
             }
             drop(server);
             let queued = queued.get_or_insert_with(|| service.queue_request());
-            sleep(jittered(queue_poll_interval(queued.count(), self.shape))).await;
+            let poll_at =
+                Instant::now() + jittered(queue_poll_interval(queued.count(), self.shape));
+            service.wait_in_queue(poll_at).await;
         }
     }
 
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -7,7 +7,8 @@
 
 use arc_swap::ArcSwap;
 use rand::seq::SliceRandom;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 use balance::{
     AssignedTurns, LimitResponse, PlacementGroup, PlacementOptions, PlacementServer, RequestShape,
@@ -15,7 +16,7 @@
 };
 use board::HostedBoard;
 use limits::{AttemptBudget, AttemptLimits};
-use model::{FastMap, RequestRate, ServerId};
+use model::{FastMap, RequestRate, ServerId, ZoneName};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
 use routes::{ServerRecord, ServiceName};
@@ -35,6 +36,8 @@
     budget: Mutex<AttemptBudget>,
     /// Number of requests that are queued for a server.
     queued: AtomicUsize,
+    /// Wakes queued requests when an evacuation leaves them no server.
+    no_server_notify: Notify,
     /// Connections that each server accepts from all entry VMs together; 0 before the first
     /// request.
     max_connections: AtomicU32,
@@ -123,6 +126,31 @@
         QueuedRequest { service: self }
     }
 
+    /// Waits until a queued request checks the servers again: at `until`, or as soon as an evacuation
+    /// has left none, since the request is then refused.
+    pub(crate) async fn wait_in_queue(&self, until: Instant) {
+        let no_server_left = self.no_server_notify.notified();
+        if !self.has_server(Instant::now()) {
+            return;
+        }
+        tokio::select! {
+            () = sleep_until(until) => {}
+            () = no_server_left => {}
+        }
+    }
+
+    /// Whether a server accepts requests now or later.
+    fn has_server(&self, now: Instant) -> bool {
+        self.group().first_return(now).is_some()
+    }
+
+    fn set_evacuated_zones(&self, zones: &[ZoneName], now: Instant) {
+        self.group().set_evacuated_zones(zones, now);
+        if !self.has_server(now) {
+            self.no_server_notify.notify_waiters();
+        }
+    }
+
     /// Sets the number of connections that each server accepts from all entry VMs together.
     pub(crate) fn set_max_connections(&self, count: u32) {
         self.max_connections.store(count, Ordering::Relaxed);
@@ -168,12 +196,14 @@
     slack: Mutex<(f64, Instant)>,
     /// This entry VM's turns at backend servers that name a limit.
     turns: Mutex<SendTurns>,
+    evacuated_zones: Mutex<Vec<ZoneName>>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
     /// Other entry VMs that serve requests for this one.
     pub(crate) helpers: Helpers,
-    /// Held while services are added, or the slack or the turns of all are changed.
+    /// Held while services are added, or the slack, the turns or the evacuated zones of all are
+    /// changed.
     update_lock: Mutex<()>,
     metrics: HostedMetrics,
     log: Logger,
@@ -196,6 +226,7 @@
             limits,
             slack: Mutex::new((limits.slack, Instant::now())),
             turns: Mutex::new(turns),
+            evacuated_zones: Mutex::default(),
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
@@ -229,7 +260,6 @@
         for record in records {
             by_service.entry(&record.service).or_default().push(placement_server(record));
         }
-        let server_count = by_service.values().map(Vec::len).sum();
         for name in by_service.keys() {
             self.get_or_create(name);
         }
@@ -241,7 +271,25 @@
             );
             service.group().set_servers(&servers);
         }
-        self.access.set_server_count(server_count);
+        self.update_server_count();
+    }
+
+    /// Replaces the evacuated zones. Their servers get no requests and no probes.
+    pub fn set_evacuated_zones(&self, zones: &[ZoneName], now: Instant) {
+        *self.evacuated_zones() = zones.to_vec();
+        let guard = self.update_lock();
+        for service in self.services.load().values() {
+            service.set_evacuated_zones(zones, now);
+        }
+        drop(guard);
+        self.update_server_count();
+    }
+
+    /// Counts the servers that tell whether this VM reaches any.
+    fn update_server_count(&self) {
+        let services = self.services.load();
+        let open_servers = services.values().map(|service| service.group().open_servers());
+        self.access.set_server_count(open_servers.sum());
     }
 
     /// Closes connections that have been idle for too long.
@@ -283,7 +331,8 @@
         &self.contacts
     }
 
-    /// Returns up to `count` random servers of all services at other addresses than `address`.
+    /// Returns up to `count` random servers of all services at other addresses than `address`, none
+    /// of them in an evacuated zone.
     pub(crate) fn other_servers(
         &self,
         address: SocketAddr,
@@ -291,7 +340,7 @@
     ) -> Vec<(Arc<HostedService>, SocketAddr)> {
         let mut others = Vec::new();
         for service in self.services.load().values() {
-            let mut addresses = service.group().addresses();
+            let mut addresses = service.group().open_addresses();
             addresses.retain(|other| *other != address);
             others.extend(addresses.into_iter().map(|other| (Arc::clone(service), other)));
         }
@@ -308,6 +357,10 @@
         self.turns.lock().expect("turn lock is never poisoned")
     }
 
+    fn evacuated_zones(&self) -> MutexGuard<'_, Vec<ZoneName>> {
+        self.evacuated_zones.lock().expect("zone lock is never poisoned")
+    }
+
     fn update_lock(&self) -> MutexGuard<'_, ()> {
         self.update_lock.lock().expect("service lock is never poisoned")
     }
@@ -316,6 +369,7 @@
         let mut group = PlacementGroup::new(self.options.clone());
         let turns = *self.turns();
         group.set_turns(turns);
+        group.set_evacuated_zones(&self.evacuated_zones(), Instant::now());
         let mut budget = AttemptBudget::new(self.limits);
         let (slack, valid_until) = *self.slack();
         budget.set_slack(slack, valid_until);
@@ -324,6 +378,7 @@
             group: Mutex::new(group),
             budget: Mutex::new(budget),
             queued: AtomicUsize::new(0),
+            no_server_notify: Notify::new(),
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
@@ -375,7 +430,7 @@
         self.service.group().record_sent(self.ticket(), Instant::now());
     }
 
-    /// Whether the server has withdrawn since it was selected.
+    /// Whether the server has withdrawn, or its zone is evacuated, since it was selected.
     pub(crate) fn is_withdrawn(&self) -> bool {
         self.service.group().is_withdrawn(self.ticket(), Instant::now())
     }
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -4,12 +4,14 @@
 //! versioned records of mustardrail: each update is complete and replaces the previous one.
 
 mod accounts;
+mod evacuation;
 mod interface;
 mod registry;
 mod server;
 mod table;
 
 pub use accounts::{AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash};
+pub use evacuation::{EvacuatedZones, EvacuationChange};
 pub use interface::{HeaderNames, WireInterface};
 pub use registry::ServerRegistry;
 pub use server::{ServerChange, ServerRecord};
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -14,10 +14,11 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use model::{ServerId, StoreVersion};
+use model::{ServerId, StoreVersion, ZoneName};
 use platform::{
-    RowRange, StoreRequest, TableName, TableRow, VersionedRows, encode_config_row, encode_names,
-    encode_rows, encode_server_row, group_service_name, parse_store_request, write_era_header,
+    RowRange, StoreRequest, TableName, TableRow, VersionedRows, encode_config_row,
+    encode_evacuation_row, encode_names, encode_rows, encode_server_row, group_service_name,
+    parse_store_request, write_era_header,
 };
 use routes::{RouteTable, ServerRecord};
 use store::{CommitOutcome, CommitRequest, MemoryTable, ScanRequest, ServerEntry, ServerState};
@@ -204,6 +205,12 @@
         self.state.put_row(TableName::Operator, encode_config_row(table));
     }
 
+    /// Evacuates a zone, or takes it back.
+    pub fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
+        let zone: ZoneName = zone.parse().expect("the name is valid");
+        self.state.put_row(TableName::Operator, encode_evacuation_row(&zone, is_evacuated));
+    }
+
     /// Returns a copy of the operator and server tables.
     pub fn copy_tables(&self) -> TableCopy {
         TableCopy(self.state.row_log().clone())
