--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -140,6 +140,8 @@
     pub(crate) gate: SendGate,
     /// Whether this incarnation said that it leaves.
     pub(crate) said_leaving: bool,
+    /// Whether the server's zone is evacuated.
+    pub(crate) is_evacuated: bool,
     /// Time until which the server wants no requests.
     pub(crate) rest_until: Option<Instant>,
     /// Whether it is a preferred server of this entry VM; always true in a small group.
@@ -160,6 +162,7 @@
             limit: None,
             warm_up,
             said_leaving: false,
+            is_evacuated: false,
             rest_until: None,
             is_preferred: true,
         }
@@ -227,9 +230,9 @@
         }
     }
 
-    /// Whether the server wants neither requests nor probes now.
+    /// Whether the server must get neither requests nor probes now.
     pub(crate) fn is_withdrawn(&self, now: Instant) -> bool {
-        self.is_leaving() || self.rest_until.is_some_and(|until| now < until)
+        self.is_leaving() || self.is_evacuated || self.rest_until.is_some_and(|until| now < until)
     }
 
     /// Whether the server is leaving, by its list entry or by its own word.
@@ -250,9 +253,15 @@
         is_longer
     }
 
-    /// Returns when the server accepts a request again; `None` if it leaves.
+    /// Records whether the server's zone is evacuated; returns whether an evacuation ended. All that
+    /// is known of the server stays.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) -> bool {
+        std::mem::replace(&mut self.is_evacuated, is_evacuated) && !is_evacuated
+    }
+
+    /// Returns when the server accepts a request again; `None` if it leaves or its zone is evacuated.
     pub(crate) fn next_request(&self, rules: &SendRules<'_>, now: Instant) -> Option<FirstReturn> {
-        if self.is_leaving() {
+        if self.is_leaving() || self.is_evacuated {
             return None;
         }
         let named_until = now + self.named_wait(rules, now);
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -15,7 +15,7 @@
 use peers::{
     MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
 };
-use routes::ServerChange;
+use routes::{CONFIG_FORMAT, ServerChange};
 use settings::HostedTiming;
 
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
@@ -42,6 +42,8 @@
     EarlierEra(u64),
     #[display("a change of the server list is missing")]
     MissingChange,
+    #[display("relay's configuration is of an older format: {_0}")]
+    OlderFormat(u32),
 }
 
 impl RelaySubscriber {
@@ -144,6 +146,9 @@
                 Ok(None) => continue,
                 Err(error) => return SubscriptionEnd::Failed(error),
             };
+            if let Some(format) = older_format(&message) {
+                return SubscriptionEnd::OlderFormat(format);
+            }
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
@@ -189,7 +194,11 @@
     ) -> Option<SubscriptionEnd> {
         let view = &self.view;
         match message {
-            RelayMessage::Evacuations { .. } | RelayMessage::CreditRequests(_) => {}
+            RelayMessage::Evacuations { version, zones } => {
+                view.apply_evacuations(version, &zones, &source.name);
+            }
+            // Only relays borrow credits.
+            RelayMessage::CreditRequests(_) => {}
             RelayMessage::CreditGrants(grants) => view.services.quotas.apply_grants(&grants),
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
@@ -223,6 +232,17 @@
     }
 }
 
+/// Returns the format of a relay's configuration that lacks parts which this VM must not take for
+/// absent. The relay knows nothing of the evacuations either, and must confirm no state.
+fn older_format(message: &RelayMessage) -> Option<u32> {
+    let format = match message {
+        RelayMessage::Config(table) => table.format,
+        RelayMessage::KeepAlive { format, .. } => *format,
+        _ => return None,
+    };
+    (format < CONFIG_FORMAT).then_some(format)
+}
+
 /// Returns the turns that a relay assigned at `sent_at`, for `validity`.
 pub(crate) fn assigned_turns(
     turns: &SubscriberTurns,
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -117,6 +117,8 @@
         background.spawn(request_own_credits(Arc::clone(hub), Arc::clone(&services), limits));
     }
     background.spawn(new_platform_watcher(&settings, &timing, &view).run());
+    let expiring_view = Arc::clone(&view);
+    background.spawn(async move { expiring_view.run_evacuation_expiry().await });
     background.spawn(async move { view.run_server_expiry().await });
     background.spawn(sweep_idle_connections(Arc::clone(&services)));
     background.spawn(log_settings_reloads(path, settings.clone(), log.clone()));
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -56,6 +56,8 @@
     pub store_era: IntGauge,
     /// Number of known backend servers.
     pub servers: IntGauge,
+    /// Number of evacuated availability zones; -1 until they are known.
+    pub evacuated_zones: IntGauge,
 }
 
 impl Default for HostedMetrics {
@@ -135,6 +137,10 @@
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
             store_era: gauge("mustardrail_store_era", "Newest era of the store."),
             servers: gauge("mustardrail_servers", "Backend servers known."),
+            evacuated_zones: gauge(
+                "mustardrail_evacuated_zones",
+                "Availability zones that are evacuated; -1 until they are known.",
+            ),
             requests,
             credits,
             labeled_accounts: Arc::default(),
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -7,7 +7,8 @@
 
 use arc_swap::ArcSwap;
 use rand::seq::SliceRandom;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 use balance::{
     AssignedTurns, ColdBound, ColdLimits, LimitResponse, ListedWarmUp, PlacementGroup,
@@ -16,7 +17,7 @@
 };
 use board::HostedBoard;
 use limits::{AttemptBudget, AttemptLimits};
-use model::{FastMap, RequestRate, ServerId};
+use model::{FastMap, RequestRate, ServerId, ZoneName};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
 use routes::{ServerRecord, ServiceInfo, ServiceName, WarmUp};
@@ -37,6 +38,8 @@
     budget: Mutex<AttemptBudget>,
     /// Number of requests that are queued for a server.
     queued: AtomicUsize,
+    /// Wakes queued requests when an evacuation leaves them no server.
+    no_server_notify: Notify,
     /// Connections that each server accepts from all entry VMs together; 0 before the first
     /// request.
     max_connections: AtomicU32,
@@ -130,6 +133,31 @@
         QueuedRequest { service: self }
     }
 
+    /// Waits until a queued request checks the servers again: at `until`, or as soon as an evacuation
+    /// has left none, since the request is then refused.
+    pub(crate) async fn wait_in_queue(&self, until: Instant) {
+        let no_server_left = self.no_server_notify.notified();
+        if !self.has_server(Instant::now()) {
+            return;
+        }
+        tokio::select! {
+            () = sleep_until(until) => {}
+            () = no_server_left => {}
+        }
+    }
+
+    /// Whether a server accepts requests now or later.
+    fn has_server(&self, now: Instant) -> bool {
+        self.group().first_return(now).is_some()
+    }
+
+    fn set_evacuated_zones(&self, zones: &[ZoneName], now: Instant) {
+        self.group().set_evacuated_zones(zones, now);
+        if !self.has_server(now) {
+            self.no_server_notify.notify_waiters();
+        }
+    }
+
     /// Sets the number of connections that each server accepts from all entry VMs together.
     pub(crate) fn set_max_connections(&self, count: u32) {
         self.max_connections.store(count, Ordering::Relaxed);
@@ -179,6 +207,7 @@
     cold_bound: Option<ColdBound>,
     /// How servers warm up, by service, as the configuration in force says.
     warm_ups: Mutex<FastMap<ServiceName, WarmUp>>,
+    evacuated_zones: Mutex<Vec<ZoneName>>,
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
@@ -186,7 +215,8 @@
     pub quotas: AccountQuotas,
     /// Other entry VMs that serve requests for this one.
     pub(crate) helpers: Helpers,
-    /// Held while services are added, or the slack or the turns of all are changed.
+    /// Held while services are added, or the slack, the turns or the evacuated zones of all are
+    /// changed.
     update_lock: Mutex<()>,
     metrics: HostedMetrics,
     log: Logger,
@@ -212,6 +242,7 @@
             turns: Mutex::new(turns),
             cold_bound: None,
             warm_ups: Mutex::default(),
+            evacuated_zones: Mutex::default(),
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
@@ -275,7 +306,6 @@
         for record in records {
             by_service.entry(&record.service).or_default().push(placement_server(record, now));
         }
-        let server_count = by_service.values().map(Vec::len).sum();
         for name in by_service.keys() {
             self.get_or_create(name);
         }
@@ -287,7 +317,25 @@
             );
             service.group().set_servers(&servers);
         }
-        self.access.set_server_count(server_count);
+        self.update_server_count();
+    }
+
+    /// Replaces the evacuated zones. Their servers get no requests and no probes.
+    pub fn set_evacuated_zones(&self, zones: &[ZoneName], now: Instant) {
+        *self.evacuated_zones() = zones.to_vec();
+        let guard = self.update_lock();
+        for service in self.services.load().values() {
+            service.set_evacuated_zones(zones, now);
+        }
+        drop(guard);
+        self.update_server_count();
+    }
+
+    /// Counts the servers that tell whether this VM reaches any.
+    fn update_server_count(&self) {
+        let services = self.services.load();
+        let open_servers = services.values().map(|service| service.group().open_servers());
+        self.access.set_server_count(open_servers.sum());
     }
 
     /// Closes connections that have been idle for too long.
@@ -329,7 +377,8 @@
         &self.contacts
     }
 
-    /// Returns up to `count` random servers of all services at other addresses than `address`.
+    /// Returns up to `count` random servers of all services at other addresses than `address`, none
+    /// of them in an evacuated zone.
     pub(crate) fn other_servers(
         &self,
         address: SocketAddr,
@@ -337,7 +386,7 @@
     ) -> Vec<(Arc<HostedService>, SocketAddr)> {
         let mut others = Vec::new();
         for service in self.services.load().values() {
-            let mut addresses = service.group().addresses();
+            let mut addresses = service.group().open_addresses();
             addresses.retain(|other| *other != address);
             others.extend(addresses.into_iter().map(|other| (Arc::clone(service), other)));
         }
@@ -358,6 +407,10 @@
         self.warm_ups.lock().expect("warm-up lock is never poisoned")
     }
 
+    fn evacuated_zones(&self) -> MutexGuard<'_, Vec<ZoneName>> {
+        self.evacuated_zones.lock().expect("zone lock is never poisoned")
+    }
+
     fn update_lock(&self) -> MutexGuard<'_, ()> {
         self.update_lock.lock().expect("service lock is never poisoned")
     }
@@ -367,6 +420,7 @@
         let turns = *self.turns();
         group.set_turns(turns);
         group.set_cold_limits(self.cold_limits(name));
+        group.set_evacuated_zones(&self.evacuated_zones(), Instant::now());
         let mut budget = AttemptBudget::new(self.limits);
         let (slack, valid_until) = *self.slack();
         budget.set_slack(slack, valid_until);
@@ -375,6 +429,7 @@
             group: Mutex::new(group),
             budget: Mutex::new(budget),
             queued: AtomicUsize::new(0),
+            no_server_notify: Notify::new(),
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
@@ -450,7 +505,7 @@
         self.service.record_warm_up(self.ticket(), response);
     }
 
-    /// Whether the server has withdrawn since it was selected.
+    /// Whether the server has withdrawn, or its zone is evacuated, since it was selected.
     pub(crate) fn is_withdrawn(&self) -> bool {
         self.service.group().is_withdrawn(self.ticket(), Instant::now())
     }
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -4,6 +4,7 @@
 //! versioned records of mustardrail: each update is complete and replaces the previous one.
 
 mod accounts;
+mod evacuation;
 mod interface;
 mod registry;
 mod server;
@@ -12,6 +13,7 @@
 pub use accounts::{
     AccountEntry, AccountError, AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash,
 };
+pub use evacuation::{EvacuatedZones, EvacuationChange};
 pub use interface::{HeaderNames, WireInterface};
 pub use registry::ServerRegistry;
 pub use server::{ServerChange, ServerRecord};
