--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -68,11 +68,7 @@
                 let is_last = index + 1 == relays.len();
                 let stale_allowed_until =
                     is_last.then(|| Instant::now() + jittered(self.timing.last_relay_grace));
-                let subscription = self.subscribe(*relay).await;
-                if subscription.is_ok() {
-                    pause = self.timing.subscription_retry_pause;
-                }
-                let end = match subscription {
+                let end = match self.subscribe(*relay).await {
                     Ok(subscription) => {
                         let mut source =
                             ConfigSource { name: relay.to_string().into(), confirmed_at: None };
@@ -82,7 +78,12 @@
                             confirmations,
                             stale_allowed_until,
                         );
-                        updates.await
+                        let end = updates.await;
+                        // A relay of an older version stays useless until it is replaced.
+                        if !matches!(end, SubscriptionEnd::OlderFormat(_)) {
+                            pause = self.timing.subscription_retry_pause;
+                        }
+                        end
                     }
                     Err(error) => SubscriptionEnd::Failed(error),
                 };
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod fleet;
 mod raw_server;
+mod recorded_relay;
 mod server;
 
 use std::time::Duration;
@@ -15,6 +16,7 @@
 pub use daemon::HostedDaemon;
 pub use fleet::{HostedFleet, hosted_request, request_id};
 pub use raw_server::{RawConnection, RawRequest, RawServer, load_header, not_run_header};
+pub use recorded_relay::{RecordedRelay, recorded_message};
 pub use server::{HostedBehaviour, HostedRun, HostedServer};
 
 /// Path of the servers' health checks.
--- a/tests/hosted_evacuation.rs
+++ b/tests/hosted_evacuation.rs
@@ -8,8 +8,8 @@
 use hyper::Method;
 use testkit::{
     CallResponse, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedFleet,
-    HostedServer, call, eventually, free_address, hosted_config, hosted_request, read_metric,
-    standard_routes,
+    HostedServer, RecordedRelay, StoreBehaviour, call, eventually, free_address, hosted_config,
+    hosted_request, read_metric, recorded_message, standard_routes,
 };
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -25,6 +25,9 @@
 /// Time within which a request that no server may run is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the return of an older copy at which the operator writes its entries again.
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
+
 const RUN_TIME: Duration = Duration::from_millis(5);
 
 /// Callers that send requests one after the other.
@@ -369,3 +372,131 @@
     }
     assert_eq!(fleet.servers[0].received_at().len(), before);
 }
+
+/// Messages of a relay of an earlier version of the daemon, which knows no evacuations.
+const OLDER_RECORDING: &str = include_str!("../components/peers/tests/recorded/format-0.txt");
+
+/// Number of subscriptions to a relay of an older version during a test, with a pause that grows to
+/// seconds.
+const MAX_SUBSCRIPTIONS: u64 = 25;
+
+async fn start_older_relay() -> RecordedRelay {
+    let names = ["config", "servers", "keep-alive"];
+    let messages = names.map(|name| recorded_message(OLDER_RECORDING, name));
+    RecordedRelay::start(messages.to_vec()).await
+}
+
+async fn wait_until_left(subscriber: &HostedDaemon) {
+    eventually("the relay of an older version is left", async || {
+        let lines = subscriber.log_lines_containing("relay: subscription failed");
+        lines.iter().any(|line| line["reason"].as_str().is_some_and(is_older_format))
+    })
+    .await;
+}
+
+fn is_older_format(reason: &str) -> bool {
+    reason.contains("configuration is of an older format")
+}
+
+/// What an older version of the daemon leaves out must not be taken for absent.
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_whose_only_relay_is_of_an_older_version_reads_the_store() {
+    let mut fleet = RelayedFleet::start(0).await;
+    let relay = start_older_relay().await;
+    fleet.relay_addresses.push(relay.address);
+    fleet.platform.set_evacuated("zone-a", true);
+    let subscriber = fleet.start_subscriber(fleet.platform.address()).await;
+    let load = Load::start(&subscriber);
+    wait_until_used(&fleet.servers[1]).await;
+    wait_until_left(&subscriber).await;
+    assert!(fleet.servers[0].received_at().is_empty());
+    // The relay's configuration has a newer version and another route.
+    let request = hosted_request(subscriber.callers, "recorded", Method::GET, "/recorded/1", 5_000);
+    assert_eq!(call(&request).await.expect("the daemon responds").status, 404);
+    let acknowledged_at = Instant::now();
+    fleet.platform.set_evacuated("zone-a", false);
+    fleet.platform.set_evacuated("zone-b", true);
+    assert_evacuated(&fleet.servers[1], acknowledged_at).await;
+    wait_until_used(&fleet.servers[0]).await;
+    assert!(load.served() > 0);
+    // Each subscription costs the relay its state.
+    let subscriptions = relay.subscription_count();
+    assert!((1..=MAX_SUBSCRIPTIONS).contains(&subscriptions), "{subscriptions} subscriptions");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_uses_a_relay_of_its_own_version_beside_older_ones() {
+    let mut fleet = RelayedFleet::start(1).await;
+    let older = [start_older_relay().await, start_older_relay().await];
+    fleet.relay_addresses.extend(older.iter().map(|relay| relay.address));
+    let store_proxy = FaultProxy::start(fleet.platform.address()).await;
+    store_proxy.partition();
+    let subscriber = fleet.start_subscriber(store_proxy.address).await;
+    let _load = Load::start(&subscriber);
+    wait_until_used(&fleet.servers[0]).await;
+    let acknowledged_at = Instant::now();
+    fleet.platform.set_evacuated("zone-a", true);
+    assert_evacuated(&fleet.servers[0], acknowledged_at).await;
+    wait_until_used(&fleet.servers[1]).await;
+}
+
+/// Guards against an evacuation that ends because the store lost it.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_that_an_older_copy_of_the_store_lacks_holds_until_it_is_written_again() {
+    let fleet = start_fleet().await;
+    let _load = Load::start(&fleet.daemon);
+    wait_until_used(&fleet.servers[0]).await;
+    let copy = fleet.platform.copy_tables();
+    let acknowledged_at = Instant::now();
+    fleet.platform.set_evacuated("zone-a", true);
+    wait_for_zones(&fleet.daemon, 1.0).await;
+    sleep(WATCH_TIME).await;
+    fleet.platform.return_from_copy(&copy);
+    // The operator writes its entries again a moment after the return.
+    sleep(REWRITE_DELAY).await;
+    fleet.platform.set_evacuated("zone-a", true);
+    assert_evacuated(&fleet.servers[0], acknowledged_at).await;
+    assert_eq!(evacuated_zones(&fleet.daemon).await, 1.0);
+    let ended = fleet.daemon.log_lines_containing("zones: evacuation ended");
+    assert!(ended.is_empty(), "{ended:?}");
+}
+
+/// An evacuation that the operator doesn't write again ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_that_is_not_written_again_ends_after_the_retention() {
+    let fleet = start_fleet().await;
+    let _load = Load::start(&fleet.daemon);
+    let copy = fleet.platform.copy_tables();
+    fleet.platform.set_evacuated("zone-a", true);
+    wait_for_zones(&fleet.daemon, 1.0).await;
+    fleet.platform.return_from_copy(&copy);
+    wait_until_used(&fleet.servers[0]).await;
+    eventually("the end is logged", async || {
+        let ended = fleet.daemon.log_lines_containing("zones: evacuation ended");
+        ended.iter().any(|line| line["source"] == "retention")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_holds_through_a_store_outage_and_a_lost_history() {
+    let fleet = start_fleet().await;
+    let load = Load::start(&fleet.daemon);
+    wait_until_used(&fleet.servers[0]).await;
+    let acknowledged_at = Instant::now();
+    fleet.platform.set_evacuated("zone-a", true);
+    wait_for_zones(&fleet.daemon, 1.0).await;
+    for outage in [StoreBehaviour::Disconnect, StoreBehaviour::Refuse(429), StoreBehaviour::Hang] {
+        fleet.platform.set_behaviour(outage);
+        sleep(Duration::from_millis(500)).await;
+        fleet.platform.set_behaviour(StoreBehaviour::Serve);
+        fleet.platform.compact_history();
+    }
+    assert_evacuated(&fleet.servers[0], acknowledged_at).await;
+    assert!(load.served() > 0);
+    fleet.platform.set_behaviour(StoreBehaviour::Disconnect);
+    fleet.platform.set_evacuated("zone-a", false);
+    fleet.platform.compact_history();
+    fleet.platform.set_behaviour(StoreBehaviour::Serve);
+    wait_until_used(&fleet.servers[0]).await;
+}
