Name the field of an invalid entry of the server list, and treat its server as absent

Cause: others may write to the list. An entry that lacked a field or had one of another type was ignored, so what it replaced stayed in use; any state other than "ready" counted as draining; a negative start or warm-up was taken for 0; each repeat of a bad entry was logged.

One that lacks a documented field, or has one out of range, names no server; its server counts as absent, by the path of a removed entry.

--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -6,6 +6,7 @@
 
 mod crash_exchange;
 mod crash_store;
+mod entry_log;
 mod platform_view;
 mod platform_watcher;
 mod readiness;
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -14,6 +14,7 @@
 use routes::ServerChange;
 
 use crate::hosted::crash_store::CrashStore;
+use crate::hosted::entry_log::EntryLog;
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
 use crate::hosted::relay_subscriber::RelaySubscriber;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
@@ -50,6 +51,7 @@
     view: Arc<PlatformView>,
     call_config: StoreCallConfig,
     crash_store: CrashStore,
+    entry_log: EntryLog,
     /// `None` for a VM that is a relay itself.
     subscriber: Option<RelaySubscriber>,
     ages: ReadAges,
@@ -63,7 +65,7 @@
         ages: ReadAges,
     ) -> Self {
         let crash_store = CrashStore::new(Arc::clone(&view), call_config.clone());
-        Self { view, call_config, crash_store, subscriber, ages }
+        Self { view, call_config, crash_store, entry_log: EntryLog::default(), subscriber, ages }
     }
 
     /// Updates the view until the future is dropped.
@@ -204,7 +206,11 @@
                         "row" => row.version);
                     changes.push(change);
                 }
-                Err(error) => self.log_invalid_row(&error),
+                Err(error) => {
+                    self.entry_log.record(&error, &self.view.log);
+                    // What it replaced no longer counts.
+                    changes.extend(error.server.map(ServerChange::Absent));
+                }
             }
         }
         changes
