--- a/components/balance/src/placement/cold.rs
+++ b/components/balance/src/placement/cold.rs
@@ -112,7 +112,7 @@
 impl WarmUpState {
     /// Returns the state; `asks_probes` says whether probes tell whether servers are warm.
     pub(crate) fn warmth(&self, asks_probes: bool, now: Instant) -> Warmth {
-        if self.cold_until.is_some_and(|until| now < until) {
+        if self.is_cold(now) {
             return Warmth::Cold;
         }
         let is_suspected = self.suspected_until.is_some_and(|until| now < until);
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Whether the server is known to be cold.
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     /// Time until which the server is cold, as far as it is known.
     pub(crate) fn cold_until(&self) -> Option<Instant> {
         self.cold_until
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -165,13 +165,22 @@
         self.cold_limits = limits;
     }
 
-    /// Records what a server's own response says about its warm-up.
-    pub fn record_warm_up(&mut self, ticket: ServerTicket, response: WarmUpResponse, now: Instant) {
-        if let Some(state) = self.state_mut(ticket) {
-            state.warm_up.record_response(response, now);
-            let cold_until = state.warm_up.cold_until();
-            self.any_cold_until = self.any_cold_until.max(cold_until);
-        }
+    /// Records what a server's own response says about its warm-up. Returns whether it is cold and
+    /// was not known to be.
+    pub fn record_warm_up(
+        &mut self,
+        ticket: ServerTicket,
+        response: WarmUpResponse,
+        now: Instant,
+    ) -> bool {
+        let Some(state) = self.state_mut(ticket) else {
+            return false;
+        };
+        let was_cold = state.warm_up.is_cold(now);
+        state.warm_up.record_response(response, now);
+        let (is_cold, cold_until) = (state.warm_up.is_cold(now), state.warm_up.cold_until());
+        self.any_cold_until = self.any_cold_until.max(cold_until);
+        is_cold && !was_cold
     }
 
     /// Records that the servers of a zone may be cold until `until`, unless their own responses to
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -126,8 +126,11 @@
         if !self.board.set_routes(table) {
             return;
         }
-        if let Some(table) = self.board.routes() {
-            self.services.set_warm_ups(&table.services);
+        let has_new_services =
+            self.board.routes().is_some_and(|table| self.services.apply_config(&table));
+        if has_new_services {
+            let servers = self.lock_servers();
+            self.services.set_servers(servers.registry.eligible_servers(), Instant::now());
         }
         self.metrics.config_version.set(version.0 as i64);
         info!(self.log, "config: in force"; "version" => version.0, "routes" => routes,
--- a/components/daemon/src/hosted/readiness.rs
+++ b/components/daemon/src/hosted/readiness.rs
@@ -11,10 +11,11 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 
 use board::HostedBoard;
 use observe::{HostedMetrics, Logger, warn};
+use proxy::HostedServices;
 
 /// Path of the metrics; every other path reports readiness.
 const METRICS_PATH: &str = "/metrics";
@@ -26,6 +27,7 @@
 #[derive(Clone)]
 pub(crate) struct ReadinessContext {
     pub(crate) board: Arc<HostedBoard>,
+    pub(crate) services: Arc<HostedServices>,
     pub(crate) metrics: HostedMetrics,
     pub(crate) log: Logger,
 }
@@ -59,6 +61,8 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
+        let cold_servers = context.services.cold_servers(Instant::now());
+        context.metrics.cold_servers.set(cold_servers as i64);
         return Response::new(Full::new(Bytes::from(context.metrics.render())));
     }
     let mut response = Response::new(Full::default());
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -73,8 +73,12 @@
     background.spawn(flush_logs(logs));
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
-    let context =
-        ReadinessContext { board: Arc::clone(&board), metrics: metrics.clone(), log: log.clone() };
+    let context = ReadinessContext {
+        board: Arc::clone(&board),
+        services: Arc::clone(&services),
+        metrics: metrics.clone(),
+        log: log.clone(),
+    };
     background.spawn(serve_readiness(readiness, context.clone()));
     let crashes = Arc::new(CrashBoard::new(CrashLimits {
         crashes: settings.quarantine.crashes,
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -19,6 +19,8 @@
     pub probe_limits: IntCounter,
     /// Backend servers that said in a response that they leave.
     pub leaving_notices: IntCounter,
+    /// Backend servers that are cold, as far as this VM knows.
+    pub cold_servers: IntGauge,
     /// Responses by which a backend server gets no requests for some time.
     pub rest_notices: IntCounter,
     /// Requests whose caller disconnected before the response.
@@ -81,6 +83,7 @@
                 "mustardrail_leaving_notices_total",
                 "Backend servers that said in a response that they leave.",
             ),
+            cold_servers: gauge("mustardrail_cold_servers", "Backend servers that are cold."),
             rest_notices: counter(
                 "mustardrail_rest_notices_total",
                 "Responses by which a backend server gets no requests for some time.",
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -19,7 +19,7 @@
 use model::{FastMap, RequestRate, ServerId};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
-use routes::{ServerRecord, ServiceInfo, ServiceName, WarmUp};
+use routes::{RouteTable, ServerRecord, ServiceName, WarmUp};
 
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
@@ -66,7 +66,14 @@
 
     /// Records what a server's own response says about its warm-up.
     pub(crate) fn record_warm_up(&self, ticket: ServerTicket, response: WarmUpResponse) {
-        self.group().record_warm_up(ticket, response, Instant::now());
+        let mut group = self.group();
+        if !group.record_warm_up(ticket, response, Instant::now()) {
+            return;
+        }
+        let server = group.id_and_address(ticket).map(|(id, _)| id.clone());
+        drop(group);
+        info!(self.log, "servers: server is cold"; "server" => server.as_ref().map(ServerId::as_str),
+            "service" => &*self.name.0, "ms" => response.left.map(|left| left.as_millis() as u64));
     }
 
     /// Records what a server's own response says about it.
@@ -166,7 +173,7 @@
     }
 }
 
-/// All services that were named by a route or a server record.
+/// All services that a configuration has named.
 pub struct HostedServices {
     options: PlacementOptions,
     limits: AttemptLimits,
@@ -224,16 +231,26 @@
         self
     }
 
-    /// Applies how servers warm up, as a configuration says.
-    pub fn set_warm_ups(&self, infos: &FastMap<ServiceName, ServiceInfo>) {
-        let warm_ups = infos
+    /// Applies a configuration: the services that it names, and how their servers warm up. Returns
+    /// whether a service is new, so that its servers must be set.
+    pub fn apply_config(&self, table: &RouteTable) -> bool {
+        let warm_ups = table
+            .services
             .iter()
             .filter_map(|(name, info)| info.warm_up.map(|warm_up| (name.clone(), warm_up)));
         *self.warm_ups() = warm_ups.collect();
+        let known = self.services.load().len();
+        let routes = table.hosts().flat_map(|(_, routes)| routes);
+        let routed = routes.flat_map(|route| &route.services).map(|weighted| &weighted.service);
+        for name in table.services.keys().chain(routed) {
+            self.get_or_create(name);
+        }
         let _guard = self.update_lock();
-        for (name, service) in self.services.load().iter() {
+        let services = self.services.load();
+        for (name, service) in services.iter() {
             service.group().set_cold_limits(self.cold_limits(name));
         }
+        services.len() > known
     }
 
     fn cold_limits(&self, name: &ServiceName) -> Option<ColdLimits> {
@@ -260,7 +277,8 @@
         service
     }
 
-    /// Applies a list of servers, which replaces those of all services.
+    /// Applies a list of servers, which replaces those of all services. Servers of services that no
+    /// configuration has named are left out.
     pub fn set_servers<'a>(
         &self,
         records: impl IntoIterator<Item = &'a ServerRecord>,
@@ -270,12 +288,10 @@
         for record in records {
             by_service.entry(&record.service).or_default().push(placement_server(record, now));
         }
-        let server_count = by_service.values().map(Vec::len).sum();
-        for name in by_service.keys() {
-            self.get_or_create(name);
-        }
+        let mut server_count = 0;
         for (name, service) in self.services.load().iter() {
             let servers = by_service.remove(name).unwrap_or_default();
+            server_count += servers.len();
             service.pool.close_stale(
                 |address| servers.iter().any(|server| server.address == *address),
                 now,
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -65,6 +65,7 @@
             "metrics": metrics, "store": store, "relay": relay, "relays": relays,
             "grace_s": 30, "contact_s": 3, "first_start": is_first_start,
             "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
+            "cold_servers": { "over": 1.5, "slack": 8 },
         });
         let name = format!("hosted-{}", callers.port());
         let process = TestProcess::start(program, &["--hosted"], &name, &settings);
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -17,7 +17,7 @@
 use model::RequestRate;
 use platform::{
     wire_interface, write_leaving_header, write_limit_header, write_load_header,
-    write_not_run_header,
+    write_not_run_header, write_warm_up_header,
 };
 use routes::{ServerRecord, ServiceName, WireInterface};
 
@@ -95,6 +95,8 @@
     behaviour: Mutex<HostedBehaviour>,
     /// Limit that its responses name.
     limit: Mutex<Option<RequestRate>>,
+    /// Time until which its responses to health checks say that it is cold.
+    cold_until: Mutex<Option<Instant>>,
     /// Whether its responses say that it is leaving.
     is_leaving: AtomicBool,
     /// Whether its responses to health checks say so too.
@@ -123,6 +125,7 @@
             wire: wire_interface(),
             behaviour: Mutex::new(behaviour),
             limit: Mutex::default(),
+            cold_until: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_leaving_told_to_probes: AtomicBool::new(true),
             retry_after: Mutex::default(),
@@ -214,6 +217,13 @@
         *self.state.limit.lock().expect("limit lock is never poisoned") = limit;
     }
 
+    /// Says in responses to health checks that it is cold for a time from now on, or that it is warm
+    /// if that is zero. Before the first call they say neither.
+    pub fn set_cold(&self, time: Duration) {
+        let cold_until = Instant::now() + time;
+        *self.state.cold_until.lock().expect("warm-up lock is never poisoned") = Some(cold_until);
+    }
+
     /// Says in all responses, also those that break off, whether it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.state.is_leaving.store(is_leaving, Ordering::SeqCst);
@@ -313,7 +323,13 @@
     async fn respond(&self, request: Request<Incoming>) -> Option<Response<WebBody>> {
         if request.uri().path() == HEALTH_PATH {
             let status = *self.health_status.lock().expect("health lock is never poisoned");
-            return Some(self.response_with_load(status, Bytes::new()));
+            let mut response = self.response_with_load(status, Bytes::new());
+            let cold_until = *self.cold_until.lock().expect("warm-up lock is never poisoned");
+            if let Some(until) = cold_until {
+                let left = until.saturating_duration_since(Instant::now());
+                write_warm_up_header(response.headers_mut(), left);
+            }
+            return Some(response);
         }
         self.request_count.fetch_add(1, Ordering::SeqCst);
         let behaviour = *self.behaviour.lock().expect("behaviour lock is never poisoned");
