--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -16,7 +16,7 @@
 };
 use board::HostedBoard;
 use limits::{AttemptBudget, AttemptLimits};
-use model::{FastMap, RequestRate, ServerId};
+use model::{FastMap, RequestRate, ServerId, ZoneName};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
 use routes::{RouteTable, ServerRecord, ServiceName, WarmUp};
@@ -66,6 +66,9 @@
 
     /// Records what a server's own response says about its warm-up.
     pub(crate) fn record_warm_up(&self, ticket: ServerTicket, response: WarmUpResponse) {
+        if response.left.is_none() && !response.is_probe {
+            return;
+        }
         let mut group = self.group();
         if !group.record_warm_up(ticket, response, Instant::now()) {
             return;
@@ -259,6 +262,16 @@
         Some(ColdLimits { duration, rate, bound })
     }
 
+    /// Records that the servers of a zone may be cold, for the time for which servers of their service
+    /// are cold after a start, unless their responses to later probes show otherwise.
+    pub fn mark_cold(&self, zone: &ZoneName, now: Instant) {
+        for (name, service) in self.services.load().iter() {
+            if let Some(limits) = self.cold_limits(name) {
+                service.group().mark_cold(zone, now + limits.duration, now);
+            }
+        }
+    }
+
     /// Returns the number of cold servers of all services.
     pub fn cold_servers(&self, now: Instant) -> usize {
         self.services.load().values().map(|service| service.group().cold_servers(now)).sum()
--- a/components/settings/tests/hosted.rs
+++ b/components/settings/tests/hosted.rs
@@ -48,6 +48,23 @@
     assert!(report.contains("recovery_s") && report.contains("contact_s"), "{report}");
 }
 
+#[test]
+fn bound_of_cold_servers_is_optional_and_checked() {
+    let settings = load("no-cold.json", &hosted_settings()).expect("the settings are valid");
+    assert_eq!(settings.cold_servers, None);
+    let mut bounded = hosted_settings();
+    bounded["cold_servers"] = json!({ "over": 1.5, "slack": 8 });
+    let settings = load("cold.json", &bounded).expect("the settings are valid");
+    let bound = settings.cold_servers.expect("the bound is set");
+    assert_eq!((bound.over, bound.slack), (1.5, 8.0));
+    for (field, value) in [("over", json!(0)), ("slack", json!(-1)), ("slack", Value::Null)] {
+        let mut invalid = bounded.clone();
+        invalid["cold_servers"][field] = value;
+        let report = load("invalid-cold.json", &invalid).expect_err("the bound is invalid");
+        assert!(report.contains(&format!("cold_servers.{field}")), "{report}");
+    }
+}
+
 #[test]
 fn quarantine_has_defaults_and_is_checked() {
     let settings = load("no-quarantine.json", &hosted_settings()).expect("the settings are valid");
