--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -20,7 +20,7 @@
 use model::{FastMap, RequestRate, ServerId, ZoneName};
 use observe::{HostedMetrics, Logger, info, warn};
 use quarantine::Fingerprint;
-use routes::{ServerRecord, ServiceInfo, ServiceName, WarmUp};
+use routes::{RouteTable, ServerRecord, ServiceName, WarmUp};
 
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
@@ -70,7 +70,17 @@
 
     /// Records what a server's own response says about its warm-up.
     pub(crate) fn record_warm_up(&self, ticket: ServerTicket, response: WarmUpResponse) {
-        self.group().record_warm_up(ticket, response, Instant::now());
+        if response.left.is_none() && !response.is_probe {
+            return;
+        }
+        let mut group = self.group();
+        if !group.record_warm_up(ticket, response, Instant::now()) {
+            return;
+        }
+        let server = group.id_and_address(ticket).map(|(id, _)| id.clone());
+        drop(group);
+        info!(self.log, "servers: server is cold"; "server" => server.as_ref().map(ServerId::as_str),
+            "service" => &*self.name.0, "ms" => response.left.map(|left| left.as_millis() as u64));
     }
 
     /// Records what a server's own response says about it.
@@ -195,7 +205,7 @@
     }
 }
 
-/// All services that were named by a route or a server record.
+/// All services that a configuration has named.
 pub struct HostedServices {
     options: PlacementOptions,
     limits: AttemptLimits,
@@ -260,16 +270,26 @@
         self
     }
 
-    /// Applies how servers warm up, as a configuration says.
-    pub fn set_warm_ups(&self, infos: &FastMap<ServiceName, ServiceInfo>) {
-        let warm_ups = infos
+    /// Applies a configuration: the services that it names, and how their servers warm up. Returns
+    /// whether a service is new, so that its servers must be set.
+    pub fn apply_config(&self, table: &RouteTable) -> bool {
+        let warm_ups = table
+            .services
             .iter()
             .filter_map(|(name, info)| info.warm_up.map(|warm_up| (name.clone(), warm_up)));
         *self.warm_ups() = warm_ups.collect();
+        let known = self.services.load().len();
+        let routes = table.hosts().flat_map(|(_, routes)| routes);
+        let routed = routes.flat_map(|route| &route.services).map(|weighted| &weighted.service);
+        for name in table.services.keys().chain(routed) {
+            self.get_or_create(name);
+        }
         let _guard = self.update_lock();
-        for (name, service) in self.services.load().iter() {
+        let services = self.services.load();
+        for (name, service) in services.iter() {
             service.group().set_cold_limits(self.cold_limits(name));
         }
+        services.len() > known
     }
 
     fn cold_limits(&self, name: &ServiceName) -> Option<ColdLimits> {
@@ -296,7 +316,8 @@
         service
     }
 
-    /// Applies a list of servers, which replaces those of all services.
+    /// Applies a list of servers, which replaces those of all services. Servers of services that no
+    /// configuration has named are left out.
     pub fn set_servers<'a>(
         &self,
         records: impl IntoIterator<Item = &'a ServerRecord>,
@@ -306,9 +327,6 @@
         for record in records {
             by_service.entry(&record.service).or_default().push(placement_server(record, now));
         }
-        for name in by_service.keys() {
-            self.get_or_create(name);
-        }
         for (name, service) in self.services.load().iter() {
             let servers = by_service.remove(name).unwrap_or_default();
             service.pool.close_stale(
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -66,6 +66,7 @@
             "grace_s": 30, "contact_s": 3, "first_start": is_first_start,
             "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
             "quotas": { "over": 0.1, "slack": 20, "window_s": 5 },
+            "cold_servers": { "over": 1.5, "slack": 8 },
         });
         let name = format!("hosted-{}", callers.port());
         let process = TestProcess::start(program, &["--hosted"], &name, &settings);
