--- a/components/limits/src/quota/requests.rs
+++ b/components/limits/src/quota/requests.rs
@@ -51,6 +51,8 @@
     Granted(Credit),
     /// The account is over its quota. Contains the caller's retry delay.
     Refused(Duration),
+    /// This VM has no relay. Contains the caller's retry delay.
+    NoRelay(Duration),
 }
 
 /// Requests of all accounts that wait for credits. `W` identifies a request.
@@ -142,7 +144,9 @@
             if now < lost_at + limits.window.mul_f64(RELAY_CHANGE_RATIO) {
                 return None;
             }
-        } else if queue.refused_until.is_none_or(|until| until <= now) {
+            return Some(CreditDecision::NoRelay(queue.retry_delay(&limits, now, rng)));
+        }
+        if queue.refused_until.is_none_or(|until| until <= now) {
             return None;
         }
         Some(CreditDecision::Refused(queue.retry_delay(&limits, now, rng)))
--- a/components/proxy/src/hosted/quota.rs
+++ b/components/proxy/src/hosted/quota.rs
@@ -3,6 +3,7 @@
 //! A request waits for the response of this VM's relay. Requests of accounts without a quota are
 //! forwarded without any of this.
 
+use std::slice;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 
 use crate::hosted::refusal::{DEFAULT_RETRY_DELAY, HostedRefusal};
 
+#[cfg(test)]
+mod tests;
+
 /// Time for which a request waits for a credit, as a fraction of the route's target latency. After
 /// that the caller can still get a response in time elsewhere.
 const CREDIT_WAIT_RATIO: f64 = 0.3;
@@ -83,9 +87,14 @@
     pub fn apply_grants(&self, grants: &[CreditGrant]) {
         let now = Instant::now();
         let mut queue = self.queue();
-        for (waiter, decision) in queue.apply_grants(grants, now, &mut rand::rng()) {
-            // If the caller has left, its credit expires.
-            let _ = waiter.send(decision);
+        for grant in grants {
+            let decided = queue.apply_grants(slice::from_ref(grant), now, &mut rand::rng());
+            for (waiter, decision) in decided {
+                // The credit of a caller that has left is for the next request.
+                if let Err(CreditDecision::Granted(credit)) = waiter.send(decision) {
+                    queue.give_back(&grant.account, credit, now);
+                }
+            }
         }
         drop(queue);
         // Requests that arrived meanwhile are sent next.
@@ -131,6 +140,7 @@
                 Ok(CreditGuard { quotas: self, credit: Some((account, credit)) })
             }
             CreditDecision::Refused(delay) => Err(HostedRefusal::OverQuota(delay)),
+            CreditDecision::NoRelay(delay) => Err(HostedRefusal::NoCredit(delay)),
         }
     }
 
@@ -141,7 +151,7 @@
         match timeout_at(wait_until, receiver).await {
             Ok(Ok(decision)) => decision,
             // The relay is silent, or the request waited too long for the next one.
-            _ => CreditDecision::Refused(model::jittered(DEFAULT_RETRY_DELAY)),
+            _ => CreditDecision::NoRelay(model::jittered(DEFAULT_RETRY_DELAY)),
         }
     }
 
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -47,6 +47,9 @@
     /// The client account has no credit left. Contains the caller's retry delay.
     #[display("client account is over its quota")]
     OverQuota(Duration),
+    /// No relay granted the request a credit in time. Contains the caller's retry delay.
+    #[display("no relay granted a credit in time")]
+    NoCredit(Duration),
     /// The request crashed the servers that ran it. Contains the rest of its quarantine.
     #[display("request crashed the backend servers that ran it")]
     Quarantined(Duration),
@@ -77,7 +80,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
-            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::OverQuota(_) | Self::NoCredit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfig
             | Self::AccountChanged
             | Self::NoServer
@@ -95,6 +98,7 @@
             Self::Saturated(delay)
             | Self::Shed(delay)
             | Self::OverQuota(delay)
+            | Self::NoCredit(delay)
             | Self::Quarantined(delay) => Some(delay),
             Self::NoConfig | Self::AccountChanged | Self::NoServer | Self::DeadlineBeforeSend => {
                 Some(DEFAULT_RETRY_DELAY)
