Use no configuration of a relay of an older version of the daemon

Cause: a configuration from an older relay has no client accounts, evacuations and warm-up limits, whatever the store holds; requests would have run without a key. Change: a subscriber leaves a relay whose keep-alive message or configuration has a lower format than its own, and reads the store itself if none is left. Ruled out: taking only its server list; the keep-alive message would confirm the state as a whole, so that the store wouldn't be read for the configuration. Measured: the added test of hosted_accounts, with a relay in the test's process, failed before (the configuration of the store never came in force, 60 s) and passes (3 s); hosted_changes passed.

--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -15,7 +15,7 @@
 use peers::{
     MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
 };
-use routes::ServerChange;
+use routes::{CONFIG_FORMAT, ServerChange};
 use settings::HostedTiming;
 
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
@@ -40,6 +40,9 @@
     Stale(u64),
     #[display("relay's server list is of the earlier era {_0} of the store")]
     EarlierEra(u64),
+    /// What its configuration leaves out, such as client accounts, is not known to be absent.
+    #[display("relay's configurations are of the older format {_0}")]
+    OlderFormat(u32),
     #[display("a change of the server list is missing")]
     MissingChange,
 }
@@ -140,7 +143,10 @@
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
-            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, .. } = message {
+            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, format, .. } = message {
+                if format < CONFIG_FORMAT {
+                    return SubscriptionEnd::OlderFormat(format);
+                }
                 if self.view.servers_version().is_some_and(|held| held.era > era) {
                     return SubscriptionEnd::EarlierEra(era);
                 }
@@ -179,6 +185,9 @@
         let view = &self.view;
         match message {
             RelayMessage::Evacuations { .. } | RelayMessage::CreditGrants(_) => {}
+            RelayMessage::Config(table) if table.format < CONFIG_FORMAT => {
+                return Some(SubscriptionEnd::OlderFormat(table.format));
+            }
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -1,15 +1,21 @@
 //! On a hosting platform: client accounts, their keys, and what backend servers see of them.
 
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
+use model::StoreVersion;
+use peers::{RelayHub, RelayTiming, serve_subscriber};
 use platform::wire_interface;
-use routes::{AccountEntry, ExecutionSemantics, HostedRoute};
+use routes::{AccountEntry, ExecutionSemantics, HostedRoute, ServerRecord};
 use testkit::{
     CallRequest, CallerConnection, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun,
     account_entry, call, eventually, free_address, hosted_config, hosted_route, request_id,
     standard_routes,
 };
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
 
@@ -289,7 +295,7 @@
         .collect();
     tokio::time::sleep(Duration::from_millis(500)).await;
     put_accounts(&fleet, 3, &[account_entry("boris", &[BORIS_KEY])]).await;
-    let revoked_at = tokio::time::Instant::now();
+    let revoked_at = Instant::now();
     let mut refused = 0;
     for call in calls {
         let (status, request) = call.await.expect("the call ends");
@@ -362,3 +368,75 @@
     let revoked = with_key(fleet.order_request("one stone"), ANNA_KEY);
     assert_eq!(status(&revoked).await, 401);
 }
+
+/// A relay of an older version of the daemon, which doesn't know client accounts: what its
+/// configuration leaves out must not be taken for absent.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_of_an_older_relay_is_not_used() {
+    let program = Path::new(DAEMON_PATH);
+    let mut fleet = HostedFleet::start(program, 1, HostedBehaviour::Run(Duration::ZERO)).await;
+    fleet.platform.put_config_with_accounts(&hosted_config(9, routes()), &accounts());
+    let relay = OlderRelay::start(fleet.servers[0].record.clone()).await;
+    let (store, own) = (fleet.platform.address(), free_address());
+    fleet.daemon = HostedDaemon::start_with_relays(program, store, own, &[relay.address]);
+    fleet.daemon.wait_ready().await;
+    wait_for_version(&fleet.daemon, 9).await;
+    let request = fleet.order_request("one stone");
+    assert_eq!(status(&request).await, 401);
+    // A version that is newer than the one in force.
+    relay.publish(10);
+    tokio::time::sleep(APPLY_TIME).await;
+    let request = fleet.order_request("one stone");
+    assert_eq!(status(&request).await, 401);
+    let known = with_key(fleet.order_request("one stone"), ANNA_KEY);
+    assert_eq!(status(&known).await, 200);
+    let applied = fleet.daemon.log_lines_containing("config: in force");
+    assert!(applied.iter().all(|line| line["source"] == "store"), "{applied:?}");
+}
+
+/// A relay in the test's own process.
+struct OlderRelay {
+    address: SocketAddr,
+    hub: Arc<RelayHub>,
+}
+
+impl OlderRelay {
+    async fn start(server: ServerRecord) -> Self {
+        let timing = RelayTiming {
+            keep_alive_interval: Duration::from_millis(250),
+            handshake_timeout: Duration::from_secs(5),
+            budget_window: Duration::from_secs(10),
+            max_state_age: Duration::from_millis(1_100),
+            share_validity: Duration::from_millis(800),
+        };
+        let hub = Arc::new(RelayHub::new(timing, true, Arc::default()));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let relay = Self { address, hub: Arc::clone(&hub) };
+        relay.publish(8);
+        let version = StoreVersion::without_era(1);
+        hub.publish_servers(version, vec![server], None).expect("a list can be encoded");
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let hub = Arc::clone(&hub);
+                tokio::spawn(async move { serve_subscriber(stream, &hub).await });
+            }
+        });
+        let hub = Arc::clone(&relay.hub);
+        tokio::spawn(async move {
+            loop {
+                hub.confirm_config(Instant::now());
+                hub.confirm_servers(Instant::now());
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        relay
+    }
+
+    /// Publishes a configuration of an older format, without accounts.
+    fn publish(&self, version: u64) {
+        let mut table = hosted_config(version, routes());
+        table.format = 0;
+        self.hub.publish_config(&table).expect("a table can be encoded");
+    }
+}
