--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -15,7 +15,7 @@
 use peers::{
     MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
 };
-use routes::ServerChange;
+use routes::{CONFIG_FORMAT, ServerChange};
 use settings::HostedTiming;
 
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
@@ -40,6 +40,9 @@
     Stale(u64),
     #[display("relay's server list is of the earlier era {_0} of the store")]
     EarlierEra(u64),
+    /// What its configuration leaves out, such as client accounts, is not known to be absent.
+    #[display("relay's configurations are of the older format {_0}")]
+    OlderFormat(u32),
     #[display("a change of the server list is missing")]
     MissingChange,
 }
@@ -117,7 +120,7 @@
         let mut crash_feed = self.view.crashes.feed();
         // Older versions of the daemon don't exchange crash reports.
         let mut exchanges_crash_reports = false;
-        // Older versions of the daemon grant no credits.
+        // An older version of the daemon, which grants no credits, is left at its first message.
         let mut grants_credits = false;
         let mut lost_servers = self.view.board.watch_lost_servers();
         // The first message tells it to the relay.
@@ -148,7 +151,10 @@
             let now = Instant::now();
             let mut delay = Duration::ZERO;
             if let RelayMessage::KeepAlive { age_ms, era, clock_ms, format, .. } = message {
-                if format > 0 && !grants_credits {
+                if format < CONFIG_FORMAT {
+                    return SubscriptionEnd::OlderFormat(format);
+                }
+                if !grants_credits {
                     grants_credits = true;
                     self.view.services.quotas.connect();
                 }
@@ -191,6 +197,9 @@
         match message {
             RelayMessage::Evacuations { .. } | RelayMessage::CreditRequests(_) => {}
             RelayMessage::CreditGrants(grants) => view.services.quotas.apply_grants(&grants),
+            RelayMessage::Config(table) if table.format < CONFIG_FORMAT => {
+                return Some(SubscriptionEnd::OlderFormat(table.format));
+            }
             RelayMessage::Config(table) => view.apply_config(table, source),
             RelayMessage::Servers { version, records } => {
                 let listed = records.into_iter().map(ServerChange::Present).collect();
