--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -42,6 +42,7 @@
     EarlierEra(u64),
     #[display("a change of the server list is missing")]
     MissingChange,
+    /// What its configuration leaves out, such as client accounts, is not known to be absent.
     #[display("relay's configuration is of an older format: {_0}")]
     OlderFormat(u32),
 }
@@ -120,7 +121,7 @@
         let mut crash_feed = self.view.crashes.feed();
         // Older versions of the daemon don't exchange crash reports.
         let mut exchanges_crash_reports = false;
-        // Older versions of the daemon grant no credits.
+        // An older version of the daemon, which grants no credits, is left at its first message.
         let mut grants_credits = false;
         let mut lost_servers = self.view.board.watch_lost_servers();
         // The first message tells it to the relay.
@@ -153,8 +154,8 @@
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
-            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, format, .. } = message {
-                if format > 0 && !grants_credits {
+            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, .. } = message {
+                if !grants_credits {
                     grants_credits = true;
                     self.view.services.quotas.connect();
                 }
