Start pipelined reads when they arrive

hyper's HTTP/1 server runs one request of a connection at a time, so a request that was sent behind another one waited for its response, and lost that time from its deadline.

hyper now reads a connection through a stream that passes on one request at a time. GET and HEAD of idempotent routes that arrive behind a GET or HEAD in progress are dispatched at once; hyper later reads the same bytes and takes the response of that task. hyper stays the only judge of framing: a head is read early by a second hyper connection in memory, and only while the first one proves, by reading, that it holds no further bytes. A VM that drains closes a connection after the last response that was started.

Ruled out: see docs/design/pipelining.md (httparse in front of a pipe, hyper's lower parts, one hyper connection for each request).

--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -23,6 +23,10 @@
     pub rest_notices: IntCounter,
     /// Requests whose caller disconnected before the response.
     pub caller_disconnects: IntCounter,
+    /// Requests that arrived behind another one that was not answered yet.
+    pub pipelined_requests: IntCounter,
+    /// Those that were started at once.
+    pub early_starts: IntCounter,
     /// Attempts whose connection broke while the request may have run.
     pub broken_attempts: IntCounter,
     /// Backend servers that crashed while they may have run a request.
@@ -86,6 +90,14 @@
                 "Responses by which a backend server gets no requests for some time.",
             ),
             caller_disconnects: counter("mustardrail_callers_left_total", "Callers that left."),
+            pipelined_requests: counter(
+                "mustardrail_pipelined_requests_total",
+                "Requests that arrived behind another one that was not answered yet.",
+            ),
+            early_starts: counter(
+                "mustardrail_early_starts_total",
+                "Pipelined requests that were started at once.",
+            ),
             broken_attempts: counter(
                 "mustardrail_broken_attempts_total",
                 "Attempts whose connection broke while the request may have run.",
--- a/components/proxy/src/handler.rs
+++ b/components/proxy/src/handler.rs
@@ -305,7 +305,7 @@
 }
 
 /// Refuses requests that can't be forwarded without changing their meaning.
-pub(crate) fn check_forwardable(request: &Request<()>) -> Result<(), &'static str> {
+pub(crate) fn check_forwardable<B>(request: &Request<B>) -> Result<(), &'static str> {
     if has_dot_segments(request.uri().path()) {
         return Err("its path has dot segments");
     }
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -15,7 +15,7 @@
 use model::ServerId;
 use observe::{HostedMetrics, Logger, RequestOutcome, info, o};
 use quarantine::CrashBoard;
-use routes::{CallerLimits, HostedRoute, RouteTable, WireInterface};
+use routes::{CallerLimits, ExecutionSemantics, HostedRoute, RouteTable, WireInterface};
 
 use crate::body::{BodyError, CallerResponseBody};
 use crate::dispatch::RequestHead;
@@ -25,6 +25,7 @@
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
+use crate::hosted::pipelining::StartedEarly;
 use crate::hosted::refusal::HostedRefusal;
 use crate::hosted::route_stats::RouteStatsTable;
 use crate::hosted::service::HostedServices;
@@ -59,6 +60,8 @@
 /// Summary of a request for its metrics and its log line.
 struct RequestSummary<'a> {
     id: Option<&'a HeaderValue>,
+    /// Whether it was started before the response to an earlier request of its connection.
+    is_started_early: bool,
     route: Option<&'a HostedRoute>,
     progress: DispatchProgress,
     elapsed: Duration,
@@ -106,6 +109,25 @@
         self.board.routes().map(|table| table.limits.clone())
     }
 
+    /// Whether the VM drains. Its connections close as soon as they have no request.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.board.is_draining()
+    }
+
+    /// Returns the metrics of requests.
+    pub(crate) fn metrics(&self) -> &HostedMetrics {
+        &self.metrics
+    }
+
+    /// Returns the mean size of a response, in bytes, if the request has a route by which it may
+    /// run any number of times.
+    pub(crate) fn idempotent_response_bytes(&self, request: &Request<Incoming>) -> Option<u64> {
+        let table = self.board.routes()?;
+        let (_, route) = find_route(Some(&table), request).ok()?;
+        let is_idempotent = route.execution == ExecutionSemantics::Idempotent;
+        is_idempotent.then(|| self.route_stats.response_bytes(route))
+    }
+
     /// Handles one request and returns a server's response or a refusal.
     pub(crate) async fn handle(
         self: Arc<Self>,
@@ -115,10 +137,12 @@
         let (parts, incoming) = request.into_parts();
         let request = Request::from_parts(parts, ());
         let id = request.headers().get(&self.wire.headers.request_id).cloned();
+        let is_started_early = request.extensions().get::<StartedEarly>().is_some();
         let has_chunked_body = has_chunked_body(request.headers());
         let mut in_flight_guard = InFlightGuard::new(&self, id.as_ref());
         let mut summary = RequestSummary {
             id: id.as_ref(),
+            is_started_early,
             route: None,
             progress: DispatchProgress::default(),
             elapsed: Duration::ZERO,
@@ -139,7 +163,7 @@
             Ok(response) => response.http,
             Err(refusal) => refusal.into_response(),
         };
-        if has_chunked_body || self.board.is_draining() {
+        if has_chunked_body {
             set_connection_close(response.headers_mut());
         }
         Ok(response)
@@ -256,7 +280,8 @@
         let fields = o!("id" => id.to_owned(), "route" => route.to_owned(),
             "service" => service.to_owned(), "config" => config_version,
             "sends" => progress.attempts,
-            "expected_ms" => progress.expected_time.as_millis() as u64, "ms" => millis);
+            "expected_ms" => progress.expected_time.as_millis() as u64, "ms" => millis,
+            "pipelined" => summary.is_started_early.then_some(true));
         match result {
             Ok(response) => info!(self.log, "request: answered"; fields,
                 "status" => response.http.status().as_u16(), "server" => response.server.as_str(),
@@ -301,9 +326,9 @@
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
-fn find_route<'a>(
+fn find_route<'a, B>(
     table: Option<&'a RouteTable>,
-    request: &Request<()>,
+    request: &Request<B>,
 ) -> Result<(&'a RouteTable, &'a HostedRoute), HostedRefusal> {
     let Some(table) = table else {
         return Err(HostedRefusal::NoConfig);
--- a/components/proxy/src/hosted/listener.rs
+++ b/components/proxy/src/hosted/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts callers' connections over HTTP/1.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -15,6 +14,7 @@
 use observe::{Logger, warn};
 
 use crate::hosted::handler::HostedHandler;
+use crate::hosted::pipelining::{Pipeline, PipelineBudget};
 use crate::listener::{accept_waiting, last_accept_time, wait_for_stop};
 
 /// Delay after a failed accept, for example because no file descriptor was free.
@@ -37,13 +37,14 @@
 pub struct HostedListener {
     listener: TcpListener,
     handler: Arc<HostedHandler>,
+    pipeline_budget: PipelineBudget,
     log: Logger,
 }
 
 impl HostedListener {
     /// Creates a listener on an open socket.
     pub fn new(listener: TcpListener, handler: Arc<HostedHandler>, log: Logger) -> Self {
-        Self { listener, handler, log }
+        Self { listener, handler, pipeline_budget: PipelineBudget::default(), log }
     }
 
     /// Accepts connections until `stop` becomes true, then waits for the requests in flight.
@@ -80,15 +81,12 @@
     ) -> impl Future<Output = ()> + use<> {
         // A failure is ignored: without TCP_NODELAY, the connection only has more delay.
         let _ = stream.set_nodelay(true);
-        let handler = Arc::clone(&self.handler);
         let builder = self.http_builder();
+        let handler = Arc::clone(&self.handler);
+        let pipeline = Pipeline::new(handler, self.pipeline_budget.clone(), builder.clone());
         async move {
-            let has_request = Arc::new(AtomicBool::new(false));
-            let has_request_flag = Arc::clone(&has_request);
-            let service = service_fn(move |request| {
-                has_request_flag.store(true, Ordering::Release);
-                Arc::clone(&handler).handle(request)
-            });
+            let stream = pipeline.wrap(stream);
+            let service = service_fn(|request| pipeline.handle(request));
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
             tokio::select! {
@@ -98,11 +96,16 @@
             }
             // A graceful shutdown closes a connection whose first request has not been read, even if
             // it has been sent. The connection closes after that request anyway.
-            if !has_request.load(Ordering::Acquire)
+            if !pipeline.has_request()
                 && timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await.is_ok()
             {
                 return;
             }
+            // A graceful shutdown closes a connection after the response in progress.
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = pipeline.finish_started_requests() => {}
+            }
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -1,7 +1,7 @@
 //! The request path of an entry VM on a hosting platform. Routes and servers come from the
 //! platform, servers are selected by recent load reports, and nothing is stored on the VM.
 //!
-//! `listener` reads a request, `handler` finds its route, `dispatch` decides how often and when it
+//! `listener` reads a request, `pipelining` those behind it, `handler` finds its route, `dispatch` decides how often and when it
 //! is sent, `selection` selects a server, `attempt` sends it once, and `refusal` builds the
 //! response if there is none from a server. `service` holds the state of each service,
 //! `route_stats` that of each route.
@@ -14,6 +14,7 @@
 mod handler;
 mod helpers;
 mod listener;
+mod pipelining;
 mod refusal;
 mod requested_times;
 mod route_stats;
