Notice a silent relay although the VM sends credit requests to it

Cause: the silence timeout started anew with each own message of a subscriber, so credit requests for many accounts could hide a silent relay for seconds.

Change: the time since the last received byte counts. A test fails before and passes after. The test of an older relay names quota limits, a field that is new.

--- a/components/peers/src/transfer.rs
+++ b/components/peers/src/transfer.rs
@@ -52,14 +52,16 @@
         self.state().last_transfer_at
     }
 
-    /// Waits for a transfer. Returns `None` if no byte is transferred for `stall_timeout`.
+    /// Waits for a transfer. Returns `None` if no byte is transferred for `stall_timeout` after
+    /// `active_since`.
     pub(crate) async fn wait_unless_stalled<T>(
         &self,
         transfer: impl Future<Output = T>,
         stall_timeout: Duration,
+        active_since: Instant,
     ) -> Option<T> {
         let mut transfer = pin!(transfer);
-        let mut active_at = Instant::now();
+        let mut active_at = active_since;
         loop {
             if let Ok(output) = timeout_at(active_at + stall_timeout, &mut transfer).await {
                 return Some(output);
--- a/components/peers/src/wire.rs
+++ b/components/peers/src/wire.rs
@@ -25,6 +25,10 @@
 /// Size from which a message is compressed.
 const MIN_COMPRESSED_BYTES: usize = 1 << 10;
 
+/// Time for which bytes are awaited even if the last one was received long ago: after a process has
+/// been stopped, those that arrived meanwhile are not read yet.
+const RECEIVE_GRACE: Duration = Duration::from_millis(50);
+
 /// First bytes of a gzip header (RFC 1952).
 const GZIP_MAGIC: [u8; 2] = [0x1f, 0x8b];
 
@@ -92,7 +96,11 @@
         silence_timeout: Duration,
     ) -> Result<(T, u64), PeerError> {
         let progress = self.received.clone();
-        match progress.wait_unless_stalled(self.receive(), silence_timeout).await {
+        // The time since the last byte counts, also if this was called again since then.
+        let now = Instant::now();
+        let earliest = now.checked_sub(silence_timeout.saturating_sub(RECEIVE_GRACE));
+        let active_since = self.last_received_at().max(earliest.unwrap_or(now));
+        match progress.wait_unless_stalled(self.receive(), silence_timeout, active_since).await {
             Some(received) => received,
             None => Err(PeerError::Silent { received_bytes: self.pending_bytes() }),
         }
@@ -105,7 +113,8 @@
         stall_timeout: Duration,
     ) -> Result<(), PeerError> {
         let progress = self.sent.clone();
-        let sent = progress.wait_unless_stalled(self.send_encoded(bytes), stall_timeout).await;
+        let sending = self.send_encoded(bytes);
+        let sent = progress.wait_unless_stalled(sending, stall_timeout, Instant::now()).await;
         sent.unwrap_or(Err(PeerError::TimedOut))
     }
 
--- a/components/peers/tests/transfers.rs
+++ b/components/peers/tests/transfers.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use model::StoreVersion;
-use peers::{HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription, serve_subscriber};
+use peers::{HeldVersions, PeerError, RelayHub, RelayMessage, RelaySubscription};
+use peers::{SubscriberMessage, serve_subscriber};
 use routes::{ExecutionSemantics, HostedRoute, RouteTable, ServiceName};
 use routes::{ServiceInfo, WeightedService};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex, split};
@@ -135,6 +136,32 @@
     assert!(elapsed <= last_byte_at + SILENCE_TIMEOUT + LINK_TICK, "ended after {elapsed:?}");
 }
 
+/// Guards against a subscriber that notices a silent relay late because it sends something itself.
+#[tokio::test(start_paused = true)]
+async fn own_messages_do_not_delay_the_detection_of_a_silent_relay() {
+    let hub = new_hub();
+    hub.publish_config(&route_table(2, 2_000)).expect("a table can be encoded");
+    let mut subscription = subscribe(&hub, 5_000, 10_000).await;
+    let mut own_ticks = tokio::time::interval(Duration::from_millis(100));
+    let started_at = Instant::now();
+    loop {
+        tokio::select! {
+            received = subscription.next(SILENCE_TIMEOUT) => {
+                if received.is_err() {
+                    break;
+                }
+            }
+            _ = own_ticks.tick() => {
+                let message = SubscriberMessage::CreditRequests(Vec::new());
+                subscription.send(&message).await.expect("the link accepts the message");
+            }
+        }
+        let elapsed = started_at.elapsed();
+        let last_byte_at = Duration::from_secs(2);
+        assert!(elapsed <= last_byte_at + 2 * SILENCE_TIMEOUT, "not noticed after {elapsed:?}");
+    }
+}
+
 /// A relay must not give up a subscriber whose link is slow, only one that accepts nothing.
 #[tokio::test(start_paused = true)]
 async fn relay_ends_a_connection_only_when_nothing_can_be_sent() {
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use limits::QuotaLimits;
 use model::StoreVersion;
 use peers::{RelayHub, RelayTiming, serve_subscriber};
 use platform::wire_interface;
@@ -408,6 +409,12 @@
             budget_window: Duration::from_secs(10),
             max_state_age: Duration::from_millis(1_100),
             share_validity: Duration::from_millis(800),
+            quotas: QuotaLimits {
+                over: 0.1,
+                slack: 20.0,
+                window: Duration::from_secs(5),
+                relays: 1,
+            },
         };
         let hub = Arc::new(RelayHub::new(timing, true, Arc::default()));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
