--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -123,12 +123,13 @@
     /// newer.
     pub(crate) fn apply_config(&self, table: RouteTable, source: &ConfigSource) {
         let (version, routes) = (table.version, table.route_count());
+        let accounts = table.accounts.as_ref().map(|accounts| accounts.accounts.len());
         if !self.board.set_routes(table) {
             return;
         }
         self.metrics.config_version.set(version.0 as i64);
         info!(self.log, "config: in force"; "version" => version.0, "routes" => routes,
-            "source" => %source.name, "confirmed_ago_ms" => source.confirmed_ago_ms());
+            "accounts" => accounts, "source" => %source.name, "confirmed_ago_ms" => source.confirmed_ago_ms());
         if let (Some(hub), Some(table)) = (&self.hub, self.board.routes()) {
             self.log_encode_failure(hub.publish_config(&table));
         }
--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -4,6 +4,7 @@
 
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::accounts::AccountMetrics;
 use crate::metrics::RequestOutcome;
 use crate::registry::{register_counter, register_gauge, render_metrics};
 
@@ -13,6 +14,7 @@
     registry: Registry,
     requests: IntCounterVec,
     request_seconds: Histogram,
+    accounts: AccountMetrics,
     /// Probes sent to backend servers.
     pub probes: IntCounter,
     /// Probes whose response named a limit of the server.
@@ -35,6 +37,8 @@
     pub server_access: IntGauge,
     /// Requests forwarded to other VMs, while this one reached no backend server.
     pub forwarded_requests: IntCounter,
+    /// Requests refused because they have no key of a client account.
+    pub unauthorized: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Failed calls to the platform's store.
@@ -110,11 +114,16 @@
                 "mustardrail_forwarded_requests_total",
                 "Requests forwarded to other VMs, while no backend server was reachable.",
             ),
+            unauthorized: counter(
+                "mustardrail_unauthorized_total",
+                "Requests refused because they have no key of a client account.",
+            ),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
             store_era: gauge("mustardrail_store_era", "Newest era of the store."),
             servers: gauge("mustardrail_servers", "Backend servers known."),
+            accounts: AccountMetrics::new(&registry),
             requests,
             request_seconds,
             registry,
@@ -127,6 +136,11 @@
         self.request_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a finished request of a client account.
+    pub fn count_account_request(&self, account: &str, outcome: RequestOutcome) {
+        self.accounts.count_request(account, outcome);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         render_metrics(&self.registry)
--- a/components/observe/src/lib.rs
+++ b/components/observe/src/lib.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and traces.
 
+mod accounts;
 mod batched;
 mod hosted;
 mod logs;
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -281,6 +281,12 @@
             Err(_) => RequestOutcome::Unknown,
         };
         self.metrics.count_request(outcome, summary.elapsed);
+        if let Some(account) = &summary.progress.account {
+            self.metrics.count_account_request(&account.name.0, outcome);
+        }
+        if matches!(result, Err(HostedRefusal::Unauthorized(_))) {
+            self.metrics.unauthorized.inc();
+        }
         let id = header_text(summary.id);
         let millis = summary.elapsed.as_millis() as u64;
         let progress = &summary.progress;
--- a/components/proxy/src/hosted/identity.rs
+++ b/components/proxy/src/hosted/identity.rs
@@ -12,6 +12,11 @@
 /// Authentication scheme of keys (RFC 9110, 11.1).
 pub(crate) const KEY_SCHEME: &str = "Token";
 
+const MISSING_KEY: HostedRefusal =
+    HostedRefusal::Unauthorized("the request has none, or more than one Authorization field");
+
+const UNKNOWN_KEY: HostedRefusal = HostedRefusal::Unauthorized("no client account has it");
+
 /// Key that a caller sent.
 pub(crate) struct CallerKey {
     hash: KeyHash,
@@ -109,9 +114,11 @@
     key: Option<&KeyHash>,
 ) -> Result<Option<Arc<ClientAccount>>, HostedRefusal> {
     let account = key.and_then(|key| accounts.find(key));
-    match account.is_some() || route.is_public {
-        true => Ok(account.cloned()),
-        false => Err(HostedRefusal::Unauthorized),
+    match account {
+        Some(_) => Ok(account.cloned()),
+        None if route.is_public => Ok(None),
+        None if key.is_some() => Err(UNKNOWN_KEY),
+        None => Err(MISSING_KEY),
     }
 }
 
--- a/components/proxy/src/hosted/identity/tests.rs
+++ b/components/proxy/src/hosted/identity/tests.rs
@@ -6,7 +6,7 @@
 use routes::{AccountEntry, ClientAccounts, HostedRoute, RouteTable};
 use testkit::{HOSTED_HOST, account_entry, hosted_config, property_test_config, standard_routes};
 
-use crate::hosted::identity::{CallerIdentity, split_scheme};
+use crate::hosted::identity::{CallerIdentity, MISSING_KEY, UNKNOWN_KEY, split_scheme};
 use crate::hosted::refusal::HostedRefusal;
 
 const KEY: &str = "rjvz48wuakn2ftimaj3n";
@@ -64,8 +64,8 @@
     let cases = [
         (table(2, &entries(), false), Ok(())),
         (table(2, &[account_entry("anna", &[OTHER_KEY, KEY])], false), Ok(())),
-        (table(2, &[account_entry("anna", &[])], false), Err(HostedRefusal::Unauthorized)),
-        (table(2, &[], false), Err(HostedRefusal::Unauthorized)),
+        (table(2, &[account_entry("anna", &[])], false), Err(UNKNOWN_KEY)),
+        (table(2, &[], false), Err(UNKNOWN_KEY)),
         (table(2, &[account_entry("boris", &[KEY])], false), Err(HostedRefusal::AccountChanged)),
         // A public route serves it, but not as the account that it had.
         (table(2, &[], true), Err(HostedRefusal::AccountChanged)),
@@ -85,7 +85,7 @@
     let identity = authenticate(&table(1, &entries(), true), &without_key);
     let identity = identity.expect("the route is public");
     assert_eq!(check(&identity, &table(2, &[], true)), Ok(()));
-    assert_eq!(check(&identity, &table(2, &entries(), false)), Err(HostedRefusal::Unauthorized));
+    assert_eq!(check(&identity, &table(2, &entries(), false)), Err(MISSING_KEY));
     // Without accounts, keys have not been read.
     let without_accounts = hosted_config(1, standard_routes());
     let identity = authenticate(&without_accounts, &with_key(KEY)).expect("no key is needed");
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -23,8 +23,8 @@
     #[display("no route for this host and path")]
     NoRoute,
     /// The route needs a key of a client account.
-    #[display("no known key")]
-    Unauthorized,
+    #[display("no known key: {_0}")]
+    Unauthorized(&'static str),
     /// The configuration changed while the request was queued, and its key belongs to another
     /// client account now, or keys have become needed.
     #[display("client account changed while the request was queued")]
@@ -71,7 +71,7 @@
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::Unauthorized(_) => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig
@@ -104,7 +104,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-        if self == Self::Unauthorized {
+        if matches!(self, Self::Unauthorized(_)) {
             headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(KEY_SCHEME));
         }
         if let Some(delay) = self.retry_after() {
--- a/tests/hosted_logs.rs
+++ b/tests/hosted_logs.rs
@@ -125,3 +125,44 @@
     assert_eq!(contents[0], contents[1], "repeats of one request");
     assert_ne!(contents[0], contents[2], "another request");
 }
+
+/// Guards against a refusal whose cause can't be found: the account, the version that has no such
+/// key, and whether the request had one.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_and_metrics_name_accounts_and_the_causes_of_401() {
+    let fleet = start_fleet(1).await;
+    let accounts = [testkit::account_entry("anna", &["rjvz48wuakn2ftimaj3n"])];
+    let config = testkit::hosted_config(2, testkit::standard_routes());
+    fleet.platform.put_config_with_accounts(&config, &accounts);
+    eventually("the configuration is in force", async || {
+        let lines = fleet.daemon.log_lines_containing("config: in force");
+        lines.iter().any(|line| line["version"] == 2 && line["accounts"] == 1)
+    })
+    .await;
+    let with_key = |key: &str| {
+        fleet.order_request("one stone").with_header("authorization", &format!("Token {key}"))
+    };
+    let cases = [
+        (with_key("rjvz48wuakn2ftimaj3n"), 200, "answered", "anna", ""),
+        (with_key("another"), 401, "refused", "", "no known key: no client account has it"),
+        (
+            fleet.order_request("one stone"),
+            401,
+            "refused",
+            "",
+            "no known key: the request has none, or more than one Authorization field",
+        ),
+    ];
+    for (request, status, end, account, reason) in cases {
+        assert_eq!(call(&request).await.expect("the daemon responds").status, status);
+        let line = wait_for_request_log(&fleet, &request).await;
+        assert_eq!(line["msg"], format!("request: {end}"));
+        assert_eq!(line["account"].as_str().unwrap_or_default(), account);
+        assert_eq!(line["reason"].as_str().unwrap_or_default(), reason);
+        assert_eq!(line["config"], 2);
+    }
+    let metrics = fleet.daemon.metrics;
+    let answered = "mustardrail_account_requests_total{account=\"anna\",outcome=\"answered\"}";
+    assert_eq!(testkit::read_metric(metrics, answered).await, 1.0);
+    assert_eq!(testkit::read_metric(metrics, "mustardrail_unauthorized_total").await, 2.0);
+}
