--- a/components/observe/src/hosted.rs
+++ b/components/observe/src/hosted.rs
@@ -1,29 +1,20 @@
 //! Metrics of an entry VM on a hosting platform.
 
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::accounts::AccountMetrics;
 use crate::metrics::RequestOutcome;
 use crate::registry::{register_counter, register_gauge, render_metrics};
 
-/// Maximum number of client accounts with a label of their own.
-const MAX_LABELED_ACCOUNTS: usize = 200;
-
-/// Label of all further accounts.
-const OTHER_ACCOUNTS: &str = "other accounts";
-
 /// Metrics of a hosted entry VM, for Prometheus.
 #[derive(Debug, Clone)]
 pub struct HostedMetrics {
     registry: Registry,
     requests: IntCounterVec,
-    credits: IntCounterVec,
-    /// Accounts that have a label of their own.
-    labeled_accounts: Arc<Mutex<BTreeSet<Box<str>>>>,
     request_seconds: Histogram,
+    accounts: AccountMetrics,
     /// Probes sent to backend servers.
     pub probes: IntCounter,
     /// Probes whose response named a limit of the server.
@@ -52,6 +43,8 @@
     pub server_access: IntGauge,
     /// Requests forwarded to other VMs, while this one reached no backend server.
     pub forwarded_requests: IntCounter,
+    /// Requests refused because they have no key of a client account.
+    pub unauthorized: IntCounter,
     /// Calls to the platform's store.
     pub store_calls: IntCounter,
     /// Failed calls to the platform's store.
@@ -81,15 +74,6 @@
             &["outcome"],
         )
         .expect("metric definitions are valid");
-        let credits = IntCounterVec::new(
-            Opts::new(
-                "mustardrail_account_requests_total",
-                "Requests of client accounts with a quota that got a credit or were refused.",
-            ),
-            &["account", "outcome"],
-        )
-        .expect("metric definitions are valid");
-        registry.register(Box::new(credits.clone())).expect("metric names are unique");
         let request_seconds = Histogram::with_opts(
             HistogramOpts::new("mustardrail_request_seconds", "Time to the head of the answer.")
                 .buckets(prometheus::exponential_buckets(0.005, 1.6, 16).expect("valid buckets")),
@@ -147,6 +131,10 @@
                 "mustardrail_forwarded_requests_total",
                 "Requests forwarded to other VMs, while no backend server was reachable.",
             ),
+            unauthorized: counter(
+                "mustardrail_unauthorized_total",
+                "Requests refused because they have no key of a client account.",
+            ),
             store_calls: counter("mustardrail_store_calls_total", "Calls to the store."),
             store_failures: counter("mustardrail_store_failures_total", "Calls that failed."),
             config_version: gauge("mustardrail_config_version", "Configuration version in force."),
@@ -156,9 +144,8 @@
                 "mustardrail_evacuated_zones",
                 "Availability zones that are evacuated; -1 until they are known.",
             ),
+            accounts: AccountMetrics::new(&registry),
             requests,
-            credits,
-            labeled_accounts: Arc::default(),
             request_seconds,
             registry,
         }
@@ -172,21 +159,12 @@
 
     /// Counts a request of a client account with a quota.
     pub fn count_credit(&self, account: &str, is_granted: bool) {
-        let outcome = if is_granted { "granted" } else { "refused" };
-        self.credits.with_label_values(&[self.account_label(account), outcome]).inc();
+        self.accounts.count_credit(account, is_granted);
     }
 
-    /// Returns the label of an account, so that their number is limited.
-    fn account_label<'a>(&self, account: &'a str) -> &'a str {
-        let mut labeled = self.labeled_accounts.lock().expect("label lock is never poisoned");
-        if labeled.contains(account) {
-            return account;
-        }
-        if labeled.len() >= MAX_LABELED_ACCOUNTS {
-            return OTHER_ACCOUNTS;
-        }
-        labeled.insert(account.into());
-        account
+    /// Counts a finished request of a client account.
+    pub fn count_account_request(&self, account: &str, outcome: RequestOutcome) {
+        self.accounts.count_request(account, outcome);
     }
 
     /// Returns all metrics in the Prometheus text format.
