--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -49,6 +49,11 @@
     /// force, in seconds.
     #[serde(default = "default_propagation")]
     pub drain_s: f64,
+    /// Time after its acceptance within which the evacuation of an availability zone must be in force,
+    /// in seconds. Evacuations propagate with configurations, so only a shorter time than
+    /// `config_apply_s` has an effect. `None` if the platform states none.
+    #[serde(default)]
+    pub evacuate_s: Option<f64>,
     /// Interval at which backend servers renew their entries in the list, in seconds.
     #[serde(default = "default_heartbeat")]
     pub heartbeat_s: f64,
@@ -106,7 +111,7 @@
 pub struct HostedBounds {
     /// Time after an outage within which a VM must have the current state of the store again.
     pub contact: Duration,
-    /// Time until an accepted configuration must be in force.
+    /// Time until an accepted configuration or evacuation must be in force.
     pub config_apply: Duration,
     /// Time until a leaving backend server must get no more requests.
     pub drain: Duration,
@@ -128,9 +133,10 @@
 
     /// Returns the bounds that times depend on.
     pub fn bounds(&self) -> HostedBounds {
+        let config_apply_s = self.evacuate_s.unwrap_or(f64::INFINITY).min(self.config_apply_s);
         HostedBounds {
             contact: Duration::from_secs_f64(self.store_contact_limit_s),
-            config_apply: Duration::from_secs_f64(self.config_apply_s),
+            config_apply: Duration::from_secs_f64(config_apply_s),
             drain: Duration::from_secs_f64(self.drain_s),
             heartbeat: Duration::from_secs_f64(self.heartbeat_s),
             recovery: Duration::from_secs_f64(self.recovery_s),
@@ -196,6 +202,7 @@
     required("contact_s", FieldKind::Number(0.1, 3_600.0)),
     optional_seconds("config_apply_s"),
     optional_seconds("drain_s"),
+    optional_seconds("evacuate_s"),
     optional_seconds("heartbeat_s"),
     optional_seconds("recovery_s"),
     required("retries", FieldKind::Object(RETRY_FIELDS)),
--- a/components/settings/tests/hosted.rs
+++ b/components/settings/tests/hosted.rs
@@ -57,3 +57,21 @@
     let report = load("quarantine.json", &invalid).expect_err("no crash confirms nothing");
     assert!(report.contains("quarantine.crashes"), "{report}");
 }
+
+/// Evacuations travel with configurations, so only a shorter bound matters.
+#[test]
+fn evacuation_bound_shortens_the_propagation_and_never_extends_it() {
+    let timing = |evacuate_s: Option<f64>| {
+        let mut settings = hosted_settings();
+        settings["config_apply_s"] = json!(2.5);
+        settings["drain_s"] = json!(2.5);
+        if let Some(evacuate_s) = evacuate_s {
+            settings["evacuate_s"] = json!(evacuate_s);
+        }
+        let settings = load("evacuation.json", &settings).expect("the settings are valid");
+        settings.timing().expect("the bounds can be met")
+    };
+    let without = timing(None);
+    assert_eq!(timing(Some(5.0)), without);
+    assert!(timing(Some(1.0)).direct_read_age < without.direct_read_age.mul_f64(0.5));
+}
