Soak: zones are evacuated and taken back

Change: servers of the soak are in three zones; one or two are evacuated and taken back by a plan of its own, so that the other faults of a seed stay as they are. Zones that are evacuated at the end stay so, and none of their servers may receive a request or health check 5 s after the evacuation and the last store fault.

--- a/components/testkit/src/soak/checks.rs
+++ b/components/testkit/src/soak/checks.rs
@@ -16,6 +16,10 @@
 /// a leaving server.
 const MAX_LEAVE_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time after a zone was evacuated in which its servers may still receive anything: as long
+/// as after a server left.
+const MAX_EVACUATION_TIME: Duration = MAX_LEAVE_TIME;
+
 /// Deadline of the calls of a check, in milliseconds.
 const CHECK_DEADLINE_MS: u64 = 10_000;
 
@@ -68,6 +72,7 @@
     violations.safety.extend(check_interrupted_calls(fleet, calls, &runs));
     violations.safety.extend(check_attempts(fleet, calls));
     violations.timing.extend(check_left_servers(fleet));
+    violations.timing.extend(check_evacuated_servers(fleet));
     violations.timing.extend(check_harmful_calls(fleet));
     violations.timing.extend(check_versions(fleet).await);
     violations
@@ -151,6 +156,28 @@
     violations
 }
 
+/// Returns the servers in evacuated zones that received a request or health check too late.
+fn check_evacuated_servers(fleet: &SoakFleet) -> Vec<Box<str>> {
+    let mut violations = Vec::new();
+    for server in &fleet.servers {
+        let zone = server.record.zone.as_str();
+        let Some(evacuated_at) = fleet.evacuated.get(zone) else {
+            continue;
+        };
+        // During a store fault no daemon can receive the evacuation.
+        let bound = (*evacuated_at).max(fleet.store_fault_at) + MAX_EVACUATION_TIME;
+        let received_at = server.hosted_server.received_at();
+        let late = received_at.iter().filter(|at| **at > bound).count();
+        if late > 0 {
+            let id = &server.record.id;
+            let message =
+                format!("server {id} received {late} requests too long after {zone} was evacuated");
+            violations.push(message.into());
+        }
+    }
+    violations
+}
+
 /// Checks that a call which has crashed three servers is hardly sent again once all daemons have had
 /// the contact time without faults.
 fn check_harmful_calls(fleet: &SoakFleet) -> Vec<Box<str>> {
--- a/components/testkit/src/soak/faults.rs
+++ b/components/testkit/src/soak/faults.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use rand::rngs::StdRng;
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, SeedableRng};
 
 use crate::hosted::HostedBehaviour;
 use crate::platform_server::StoreBehaviour;
@@ -13,6 +13,9 @@
 /// Mean pause between two faults, shorter than most faults so that they overlap.
 const MEAN_FAULT_PAUSE: Duration = Duration::from_millis(600);
 
+/// Mean pause between two changes of the evacuated zones.
+const MEAN_EVACUATION_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// A fault and the time of its injection after the start.
 pub(crate) struct PlannedFault {
     pub(crate) at: Duration,
@@ -67,10 +70,34 @@
     ResumeDaemons,
     #[display("daemon {_0} receives SIGHUP")]
     ReloadSettings(usize),
+    #[display("zone {_0} is evacuated, or taken back")]
+    ToggleEvacuation(usize),
 }
 
-/// Returns the planned faults in order of time.
+/// Returns the planned faults and evacuations in order of time.
 pub(crate) fn plan_faults(options: &SoakOptions, random: &mut StdRng) -> Vec<PlannedFault> {
+    let mut planned = plan_other_faults(options, random);
+    planned.extend(plan_evacuations(options));
+    planned.sort_by_key(|fault| fault.at);
+    planned
+}
+
+/// Returns the planned evacuations, which leave the other faults of a seed as they are.
+fn plan_evacuations(options: &SoakOptions) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(options.seed ^ (1 << 32));
+    let mut planned = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += MEAN_EVACUATION_PAUSE.mul_f64(random.random_range(0.05..1.95));
+        if at >= options.duration {
+            return planned;
+        }
+        let kind = FaultKind::ToggleEvacuation(random.random_range(0..1_000));
+        planned.push(PlannedFault { at, kind });
+    }
+}
+
+fn plan_other_faults(options: &SoakOptions, random: &mut StdRng) -> Vec<PlannedFault> {
     let pause = match options.size {
         SoakSize::Few => MEAN_FAULT_PAUSE,
         SoakSize::Many => MEAN_FAULT_PAUSE / 3,
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! The fleet of a soak test, and the injection of faults.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
@@ -34,6 +35,9 @@
 /// Largest number of crashes of one server; its next incarnation starts later than these.
 const MAX_CRASHES: u64 = 1_000;
 
+/// Availability zones, to which servers are assigned in turn. The daemons are in the first one.
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
 /// Number of servers that are never removed, so that requests can always be served.
 const PERMANENT_SERVERS: usize = 2;
 
@@ -73,6 +77,8 @@
     pub(crate) terminated: Vec<SocketAddr>,
     /// Daemons that are partitioned from all servers.
     server_cuts: ProcessCuts,
+    /// When each evacuated zone was evacuated.
+    pub(crate) evacuated: BTreeMap<&'static str, Instant>,
     /// When all faults ended.
     pub(crate) faults_ended_at: Option<Instant>,
     /// When the last store fault started or ended.
@@ -100,6 +106,7 @@
             killed_or_suspended: Vec::new(),
             terminated: Vec::new(),
             server_cuts: ProcessCuts::default(),
+            evacuated: BTreeMap::new(),
             faults_ended_at: None,
             store_fault_at: Instant::now(),
             started_servers: 0,
@@ -144,9 +151,11 @@
 
     async fn add_server(&mut self) {
         let id = format!("s-{}", self.started_servers);
+        let zone = ZONES[self.started_servers % ZONES.len()];
         self.started_servers += 1;
         let server = HostedServer::start(&id, "orders", NORMAL_BEHAVIOUR).await;
-        let record = server.record.clone();
+        let zone = zone.parse().expect("the name is valid");
+        let record = ServerRecord { zone, ..server.record.clone() };
         self.register_server(server, record).await;
     }
 
@@ -240,12 +249,32 @@
             FaultKind::EndServerCuts => self.server_cuts.end(),
             FaultKind::ResumeDaemons => self.resume_daemons(),
             FaultKind::ReloadSettings(number) => self.daemon(number).process.reload_settings(),
+            FaultKind::ToggleEvacuation(number) => {
+                let zone = ZONES[number % ZONES.len()];
+                self.set_evacuated(zone, !self.evacuated.contains_key(zone));
+            }
         }
     }
 
-    /// Ends all faults.
+    /// Evacuates a zone, or takes it back. One zone is always left.
+    fn set_evacuated(&mut self, zone: &'static str, is_evacuated: bool) {
+        if !is_evacuated {
+            self.platform.set_evacuated(zone, false);
+            self.evacuated.remove(zone);
+        } else if self.evacuated.len() + 1 < ZONES.len() {
+            self.platform.set_evacuated(zone, true);
+            self.evacuated.insert(zone, Instant::now());
+        }
+    }
+
+    /// Ends all faults. The zones with servers that may all have left stay evacuated, or become so.
     pub(crate) async fn end_faults(&mut self) {
         self.faults_ended_at = Some(Instant::now());
+        let [permanent_zone, _, last_zone] = ZONES;
+        self.set_evacuated(permanent_zone, false);
+        if !self.evacuated.contains_key(last_zone) {
+            self.set_evacuated(last_zone, true);
+        }
         self.store_fault_at = Instant::now();
         self.platform.set_behaviour(StoreBehaviour::Serve);
         self.platform.set_delay(Duration::ZERO);
