Send requests that prove an estimate of the service time wrong

Cause: a route without samples assumed a third of its target for a request and refused every one with a shorter deadline, so that there never was a sample. The same held for a learned time above what all callers allow, and below a twentieth of the target nothing could be learned.

Change: without a sample the assumption is at most a third of what the caller allows, and a first sample below half of it replaces it. When there was no sample for 2 s, one request that the learned time refuses is sent; its time may halve the estimate. The lower bound of the estimate is 1 ms.

Ruled out: the first sample as estimate in any case: servers of unlike speed would let it start far below the typical time, and each probe round would go on for longer.

--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -26,7 +26,7 @@
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
 use crate::hosted::refusal::HostedRefusal;
-use crate::hosted::route_stats::RouteStatsTable;
+use crate::hosted::route_stats::{RouteStatsTable, ServiceTime};
 use crate::hosted::service::HostedServices;
 use crate::request_body::{BodyLimits, RequestBody};
 
@@ -172,8 +172,10 @@
         progress.service = Some(service.name.clone());
         let body = self.read_body(table, incoming, deadline).await?;
         let request_bytes = body.buffered_bytes() as u64;
+        let ServiceTime { time: service_time, is_trial } =
+            self.route_stats.service_time(route, requested_time, now);
         let shape = RequestShape {
-            service_time: self.route_stats.service_time(route),
+            service_time,
             transfer_bytes: request_bytes + self.route_stats.response_bytes(route),
             target: route.target_latency,
         };
@@ -210,7 +212,8 @@
         if result.as_ref().is_ok_and(|response| response.http.status().is_success())
             && progress.attempts == 1
         {
-            self.route_stats.record_service_time(route, sent_at.elapsed());
+            let sample = ServiceTime { time: sent_at.elapsed(), is_trial };
+            self.route_stats.record_service_time(route, sample, Instant::now());
         }
         result
     }
--- a/components/proxy/src/hosted/route_stats.rs
+++ b/components/proxy/src/hosted/route_stats.rs
@@ -5,18 +5,32 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::time::Instant;
 
 use crate::hosted::requested_times::RequestedTimes;
 use model::FastMap;
 use routes::{HostedRoute, ServiceName, WeightedService};
 
-/// Typical service time before the first sample, as a fraction of the shorter of the route's target
-/// and timeout.
+/// Service time that is assumed without knowledge, as a fraction of the shortest of the route's
+/// target, its timeout and the time that the caller allows.
 const INITIAL_SERVICE_TIME_FRACTION: f64 = 0.33;
 
-/// Range of the typical service time, as a fraction of the same. Without the upper bound, a high
-/// estimate would cause all requests to be refused, and no new sample could correct it.
-const SERVICE_TIME_FRACTION_RANGE: (f64, f64) = (0.05, 0.8);
+/// Ratio of the first sample to the assumed time below which it replaces it.
+const MIN_ASSUMED_RATIO: f64 = 0.5;
+
+/// Largest typical service time, as a fraction of the shorter of the route's target and timeout.
+const MAX_SERVICE_TIME_FRACTION: f64 = 0.8;
+
+/// Smallest typical service time.
+const MIN_SERVICE_SECONDS: f64 = 0.001;
+
+/// Time without a sample after which one request is sent that the typical service time would
+/// refuse. Otherwise a time that is too long would refuse all requests, and no sample could correct
+/// it.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Largest reduction of the typical service time by one trial.
+const TRIAL_REDUCTION: f64 = 0.5;
 
 /// Quantile of the sampled times that is used as the typical service time. Longer samples include
 /// time in a queue or come from a slow server.
@@ -39,14 +53,63 @@
 }
 
 struct RouteStats {
-    /// Typical service time of a request.
+    /// Typical service time of a request; an assumption before the first sample.
     service_seconds: f64,
+    has_sample: bool,
+    /// When the last sample was recorded or the last trial sent.
+    tested_at: Option<Instant>,
     /// Moving average of the size of response bodies; `None` before the first.
     response_bytes: Option<f64>,
     requested_times: RequestedTimes,
     credits: Vec<ServiceCredit>,
 }
 
+/// Expected time of a request in a free slot.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct ServiceTime {
+    pub(crate) time: Duration,
+    /// Whether the request is sent to find out whether the typical time is too long.
+    pub(crate) is_trial: bool,
+}
+
+impl RouteStats {
+    fn service_time(&mut self, route: &HostedRoute, allowed: f64, now: Instant) -> ServiceTime {
+        let assumed = response_goal_seconds(route).min(allowed) * INITIAL_SERVICE_TIME_FRACTION;
+        // The target or timeout may have changed since the last sample.
+        let typical = self.service_seconds.min(max_service_seconds(route));
+        let is_tested = self.tested_at.is_some_and(|tested_at| now < tested_at + TRIAL_INTERVAL);
+        let is_trial = self.has_sample && typical > allowed && !is_tested;
+        if is_trial {
+            self.tested_at = Some(now);
+        }
+        let seconds = match self.has_sample && !is_trial {
+            true => typical,
+            false => typical.min(assumed),
+        };
+        ServiceTime { time: Duration::from_secs_f64(seconds), is_trial }
+    }
+
+    fn record_service_time(&mut self, sample: ServiceTime, max_seconds: f64, now: Instant) {
+        let seconds = sample.time.as_secs_f64();
+        let step = match seconds > self.service_seconds {
+            true => SERVICE_TIME_QUANTILE,
+            false => SERVICE_TIME_QUANTILE - 1.0,
+        };
+        let is_assumption_wrong =
+            !self.has_sample && seconds < self.service_seconds * MIN_ASSUMED_RATIO;
+        self.service_seconds = if is_assumption_wrong {
+            seconds
+        } else if sample.is_trial {
+            self.service_seconds.min(seconds.max(self.service_seconds * TRIAL_REDUCTION))
+        } else {
+            self.service_seconds * (1.0 + QUANTILE_STEP_FRACTION * step)
+        };
+        self.service_seconds = self.service_seconds.min(max_seconds).max(MIN_SERVICE_SECONDS);
+        self.has_sample = true;
+        self.tested_at = Some(now);
+    }
+}
+
 /// Credit of a service in the weighted round robin of a route.
 struct ServiceCredit {
     service: WeightedService,
@@ -55,29 +118,27 @@
 }
 
 impl RouteStatsTable {
-    /// Returns the typical service time of a request on the route.
-    pub(crate) fn service_time(&self, route: &HostedRoute) -> Duration {
-        // The target or timeout may have changed since the last sample.
-        let max_seconds = response_goal_seconds(route) * SERVICE_TIME_FRACTION_RANGE.1;
-        Duration::from_secs_f64(
-            self.with_stats(route, |stats| stats.service_seconds.min(max_seconds)),
-        )
+    /// Returns the expected service time of a request on the route for which the caller waits for
+    /// `requested_time`.
+    pub(crate) fn service_time(
+        &self,
+        route: &HostedRoute,
+        requested_time: Duration,
+        now: Instant,
+    ) -> ServiceTime {
+        let allowed = requested_time.min(route.timeout).as_secs_f64();
+        self.with_stats(route, |stats| stats.service_time(route, allowed, now))
     }
 
-    /// Updates the typical service time with a sample.
-    pub(crate) fn record_service_time(&self, route: &HostedRoute, elapsed: Duration) {
-        let goal_seconds = response_goal_seconds(route);
-        self.with_stats(route, |stats| {
-            let step = match elapsed.as_secs_f64() > stats.service_seconds {
-                true => SERVICE_TIME_QUANTILE,
-                false => SERVICE_TIME_QUANTILE - 1.0,
-            };
-            let service_seconds = stats.service_seconds * (1.0 + QUANTILE_STEP_FRACTION * step);
-            stats.service_seconds = service_seconds.clamp(
-                goal_seconds * SERVICE_TIME_FRACTION_RANGE.0,
-                goal_seconds * SERVICE_TIME_FRACTION_RANGE.1,
-            );
-        });
+    /// Updates the typical service time with the time that a request took.
+    pub(crate) fn record_service_time(
+        &self,
+        route: &HostedRoute,
+        sample: ServiceTime,
+        now: Instant,
+    ) {
+        let max_seconds = max_service_seconds(route);
+        self.with_stats(route, |stats| stats.record_service_time(sample, max_seconds, now));
     }
 
     /// Returns the mean size of a response on the route.
@@ -128,6 +189,8 @@
         }
         let stats = routes.entry(route.name.clone()).or_insert_with(|| RouteStats {
             service_seconds: response_goal_seconds(route) * INITIAL_SERVICE_TIME_FRACTION,
+            has_sample: false,
+            tested_at: None,
             response_bytes: None,
             requested_times: RequestedTimes::default(),
             credits: Vec::new(),
@@ -145,6 +208,10 @@
     route.target_latency.min(route.timeout).as_secs_f64()
 }
 
+fn max_service_seconds(route: &HostedRoute) -> f64 {
+    response_goal_seconds(route) * MAX_SERVICE_TIME_FRACTION
+}
+
 /// Returns random credits, so that entry VMs with few requests each don't all start with the same
 /// service.
 fn random_credits(services: &[WeightedService]) -> Vec<ServiceCredit> {
