Probe attempted servers that may be cold before a further attempt

Cause: a service whose servers have all been attempted gives the best of them another attempt. If the last probe was answered more than a second before, such a server counts as possibly cold, and nothing probed it, so that the retry waited until its target.

Change: those servers are probed first. More tests of cold servers: bounds of other deployments, and a server that restarts under its identity.

The retry itself has no test of its own.

--- a/components/balance/tests/cold.rs
+++ b/components/balance/tests/cold.rs
@@ -87,6 +87,7 @@
     /// Turns in use at each relay.
     used_turns: Vec<BTreeSet<u32>>,
     servers: usize,
+    limits: ColdLimits,
     /// When each server received its requests.
     received: Vec<Vec<Instant>>,
     started_at: Instant,
@@ -97,7 +98,11 @@
 impl Fleet {
     /// Creates a fleet whose VMs joined their relays long ago and know that all servers are cold.
     fn established(vms: usize, servers: usize) -> Self {
-        let mut fleet = Self::new(vms.min(3), servers);
+        Self::established_with(LIMITS, vms, servers)
+    }
+
+    fn established_with(limits: ColdLimits, vms: usize, servers: usize) -> Self {
+        let mut fleet = Self { limits, ..Self::new(vms.min(3), servers) };
         (0..vms).for_each(|_| fleet.add_vm());
         fleet.now += VALIDITY + MESSAGE_INTERVAL;
         let now = fleet.now;
@@ -118,6 +123,7 @@
             vms: Vec::new(),
             used_turns: vec![BTreeSet::new(); relays],
             servers,
+            limits: LIMITS,
             received: vec![Vec::new(); servers],
             started_at,
             now: started_at,
@@ -135,6 +141,7 @@
         let (joined_at, next_message_at) = (self.now, self.now);
         let mut vm = EntryVm { group, turns, relay, turn, joined_at, next_message_at };
         vm.group.set_turns(turns);
+        vm.group.set_cold_limits(Some(self.limits));
         self.vms.push(vm);
     }
 
@@ -213,12 +220,12 @@
     /// Requests per second of all servers from `start` on, as a part of what is allowed.
     fn used_part(&self, start: Instant) -> f64 {
         let count = self.received.iter().flatten().filter(|at| **at > start).count();
-        let allowed = LIMITS.rate.0 * LIMITS.bound.over * self.servers as f64;
+        let allowed = self.limits.rate.0 * self.limits.bound.over * self.servers as f64;
         count as f64 / (self.now - start).as_secs_f64() / allowed
     }
 
     fn assert_bound(&self, case: &str) {
-        let allowed = LIMITS.rate.0 * LIMITS.bound.over + LIMITS.bound.slack;
+        let allowed = self.limits.rate.0 * self.limits.bound.over + self.limits.bound.slack;
         let peak = self.peak();
         println!("{case}: at most {peak} requests a second of {allowed}");
         assert!(peak as f64 <= allowed, "{case}: {peak} requests in a second");
@@ -293,6 +300,26 @@
     }
 }
 
+/// Bounds of other deployments. Where the slack is small, it binds: three relays send at any moment.
+#[test]
+fn other_bounds_are_kept() {
+    let cases =
+        [(4.1, 1.5, 4.0), (1.0, 1.0, 3.0), (20.0, 1.2, 5.0), (50.0, 2.0, 30.0), (0.5, 1.0, 9.0)];
+    for (rate, over, slack) in cases {
+        let bound = ColdBound { over, slack };
+        let limits = ColdLimits { rate: RequestRate(rate), bound, ..LIMITS };
+        for vms in FLEET_SIZES {
+            let mut fleet = Fleet::established_with(limits, vms, 2);
+            let start = fleet.now;
+            fleet.run(Duration::from_secs(5));
+            let case = format!("{rate} x {over} + {slack}, {vms} VMs");
+            fleet.assert_bound(&case);
+            println!("{case}: {:.3} of the agreed rate is used", fleet.used_part(start));
+            assert!(fleet.peak() > 0, "{case}: a cold server gets work");
+        }
+    }
+}
+
 /// Guards against VMs that use a limit as a whole until they know how many they are.
 #[test]
 fn start_of_all_vms_keeps_the_bound() {
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -81,6 +81,10 @@
     if considered.is_empty() {
         // All servers have been attempted; the best of them may get another attempt.
         considered = attempted.to_vec();
+        let unknown = possibly_cold(context, attempted);
+        if !unknown.is_empty() {
+            probe_candidates(context, &unknown, shape).await;
+        }
     }
     let now = Instant::now();
     let (ticket, estimate) = context.service.group().best_server(&considered, shape, now)?;
@@ -119,6 +123,14 @@
     probes.detach_all();
 }
 
+/// Returns servers of which only a probe would show whether they are cold.
+fn possibly_cold(context: &SelectionContext<'_>, servers: &[ServerTicket]) -> Vec<ServerTicket> {
+    let now = Instant::now();
+    let group = context.service.group();
+    let unknown = servers.iter().copied().filter(|ticket| group.may_be_cold(*ticket, now));
+    unknown.take(PROBES_PER_ROUND).collect()
+}
+
 /// Returns the candidates to probe: those without a fresh report if there is a choice, and those
 /// that may be cold in any case.
 fn due_probes(
--- a/tests/hosted_cold_servers.rs
+++ b/tests/hosted_cold_servers.rs
@@ -196,3 +196,29 @@
     assert!(highest > 0, "a cold server gets work");
     assert!(highest as f64 <= MAX_PER_SECOND, "{highest} requests in a second");
 }
+
+/// A server that is started again under its identity is known as warm, and is idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_server_is_probed_before_it_gets_requests() {
+    let mut fleet = ColdFleet::start(2, 1, 3).await;
+    sleep(TURNS_DELAY).await;
+    let restarted = Arc::new(fleet.servers.remove(0));
+    let (server, list) = (Arc::clone(&restarted), fleet.platform.server_list());
+    let record = server.record.clone();
+    let restart = tokio::spawn(async move {
+        server.restart_after_crashes(record, list, Duration::from_millis(300)).await;
+    });
+    let burst = fleet.start_burst();
+    eventually("the server is used", async || restarted.request_count() > 20).await;
+    restarted.crash_and_restart();
+    eventually("the server is down", async || !restarted.crashed_at().is_empty()).await;
+    restarted.set_cold(COLD_TIME);
+    let crashed_at = restarted.crashed_at()[0];
+    sleep(Duration::from_secs(4)).await;
+    let highest = peak(&restarted.runs(), crashed_at, Instant::now());
+    burst.end().await;
+    restart.abort();
+    println!("{highest} requests in the worst second");
+    assert!(highest > 0, "a cold server gets work");
+    assert!(highest as f64 <= MAX_PER_SECOND, "{highest} requests in a second");
+}
