Cold servers in the soak test

About one server every 2 s becomes cold for 3 s, drawn from a stream of its own, so that each seed keeps its other faults; the soak checks the bound in any second (among the limits of time: a busy machine may delay the requests of several seconds into one).

--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -12,10 +12,10 @@
 use tokio::time::{Instant, sleep};
 
 pub use config::{hosted_config, hosted_route, standard_routes};
-pub use daemon::HostedDaemon;
+pub use daemon::{COLD_OVER, COLD_SLACK, HostedDaemon};
 pub use fleet::{HostedFleet, hosted_request, request_id};
 pub use raw_server::{RawConnection, RawRequest, RawServer, load_header, not_run_header};
-pub use server::{HostedBehaviour, HostedRun, HostedServer};
+pub use server::{HostedBehaviour, HostedRun, HostedServer, peak_per_second};
 
 /// Path of the servers' health checks.
 const HEALTH_PATH: &str = "/health";
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -14,6 +14,12 @@
 use crate::process::TestProcess;
 use crate::usage::ProcessUsage;
 
+/// Bound of the requests to cold servers in the settings: multiple of the tolerated rate.
+pub const COLD_OVER: f64 = 1.5;
+
+/// Requests to a cold server per second in addition.
+pub const COLD_SLACK: f64 = 8.0;
+
 /// Pause between two readiness checks.
 const READINESS_CHECK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -65,7 +71,7 @@
             "metrics": metrics, "store": store, "relay": relay, "relays": relays,
             "grace_s": 30, "contact_s": 3, "first_start": is_first_start,
             "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
-            "cold_servers": { "over": 1.5, "slack": 8 },
+            "cold_servers": { "over": COLD_OVER, "slack": COLD_SLACK },
         });
         let name = format!("hosted-{}", callers.port());
         let process = TestProcess::start(program, &["--hosted"], &name, &settings);
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -1,6 +1,7 @@
 //! Fake servers with the wire interface of the hosting platform.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -80,6 +81,16 @@
     pub is_cancelled: bool,
 }
 
+/// Returns the largest number of runs that started in one second of a period.
+pub fn peak_per_second(runs: &[HostedRun], period: &Range<Instant>) -> usize {
+    let started: Vec<Instant> =
+        runs.iter().map(|run| run.started_at).filter(|at| period.contains(at)).collect();
+    let in_second = |from: &Instant| {
+        started.iter().filter(|at| (*from..*from + Duration::from_secs(1)).contains(*at)).count()
+    };
+    started.iter().map(in_second).max().unwrap_or(0)
+}
+
 /// A fake server on a loopback port.
 pub struct HostedServer {
     /// Its entry in the platform's server list.
@@ -97,6 +108,8 @@
     limit: Mutex<Option<RequestRate>>,
     /// Time until which its responses to health checks say that it is cold.
     cold_until: Mutex<Option<Instant>>,
+    /// When it was cold.
+    cold_periods: Mutex<Vec<Range<Instant>>>,
     /// Whether its responses say that it is leaving.
     is_leaving: AtomicBool,
     /// Whether its responses to health checks say so too.
@@ -126,6 +139,7 @@
             behaviour: Mutex::new(behaviour),
             limit: Mutex::default(),
             cold_until: Mutex::default(),
+            cold_periods: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_leaving_told_to_probes: AtomicBool::new(true),
             retry_after: Mutex::default(),
@@ -220,10 +234,18 @@
     /// Says in responses to health checks that it is cold for a time from now on, or that it is warm
     /// if that is zero. Before the first call they say neither.
     pub fn set_cold(&self, time: Duration) {
-        let cold_until = Instant::now() + time;
+        let now = Instant::now();
+        let cold_until = now + time;
+        let mut periods = self.state.cold_periods.lock().expect("warm-up lock is never poisoned");
+        periods.push(now..cold_until);
         *self.state.cold_until.lock().expect("warm-up lock is never poisoned") = Some(cold_until);
     }
 
+    /// When it was cold, for as long as `set_cold` said.
+    pub fn cold_periods(&self) -> Vec<Range<Instant>> {
+        self.state.cold_periods.lock().expect("warm-up lock is never poisoned").clone()
+    }
+
     /// Says in all responses, also those that break off, whether it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.state.is_leaving.store(is_leaving, Ordering::SeqCst);
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -25,9 +25,9 @@
 pub use fault_proxy::FaultProxy;
 pub use fleet::{FLEET_KEY, TestFleet, TestService, account_record, policy_record, service_record};
 pub use hosted::{
-    HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun, HostedServer,
-    RawConnection, RawRequest, RawServer, eventually, hosted_config, hosted_request, hosted_route,
-    load_header, not_run_header, request_id, standard_routes,
+    COLD_OVER, COLD_SLACK, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun,
+    HostedServer, RawConnection, RawRequest, RawServer, eventually, hosted_config, hosted_request,
+    hosted_route, load_header, not_run_header, peak_per_second, request_id, standard_routes,
 };
 pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
--- a/components/testkit/src/soak/checks.rs
+++ b/components/testkit/src/soak/checks.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use crate::caller::{CallError, call};
-use crate::hosted::{HostedRun, hosted_request};
-use crate::soak::fleet::{SoakFleet, version_prefix};
+use crate::hosted::{COLD_OVER, COLD_SLACK, HostedRun, hosted_request, peak_per_second};
+use crate::soak::fleet::{SoakFleet, WARM_UP, version_prefix};
 use crate::soak::load::{CallRecord, DEADLINE_MS, HARMFUL_CALLERS, harmful_text};
 
 /// Longest time after a server left the list in which it may still start requests: the contact time
@@ -68,6 +68,7 @@
     violations.safety.extend(check_interrupted_calls(fleet, calls, &runs));
     violations.safety.extend(check_attempts(fleet, calls));
     violations.timing.extend(check_left_servers(fleet));
+    violations.timing.extend(check_cold_servers(fleet));
     violations.timing.extend(check_harmful_calls(fleet));
     violations.timing.extend(check_versions(fleet).await);
     violations
@@ -151,6 +152,23 @@
     violations
 }
 
+/// Returns the servers that got more requests in a second than a cold server may get.
+fn check_cold_servers(fleet: &SoakFleet) -> Vec<Box<str>> {
+    let allowed = WARM_UP.rate.0 * COLD_OVER + COLD_SLACK;
+    let mut violations = Vec::new();
+    for server in &fleet.servers {
+        let runs = server.hosted_server.runs();
+        for period in server.hosted_server.cold_periods() {
+            let peak = peak_per_second(&runs, &period);
+            if peak as f64 > allowed {
+                let id = &server.record.id;
+                violations.push(format!("cold server {id} got {peak} requests in a second").into());
+            }
+        }
+    }
+    violations
+}
+
 /// Checks that a call which has crashed three servers is hardly sent again once all daemons have had
 /// the contact time without faults.
 fn check_harmful_calls(fleet: &SoakFleet) -> Vec<Box<str>> {
--- a/components/testkit/src/soak/faults.rs
+++ b/components/testkit/src/soak/faults.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use rand::rngs::StdRng;
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, SeedableRng};
 
 use crate::hosted::HostedBehaviour;
 use crate::platform_server::StoreBehaviour;
@@ -13,6 +13,10 @@
 /// Mean pause between two faults, shorter than most faults so that they overlap.
 const MEAN_FAULT_PAUSE: Duration = Duration::from_millis(600);
 
+/// Mean pause between two servers that become cold. They are drawn apart from the other faults, so
+/// that a seed keeps those.
+const MEAN_COLD_PAUSE: Duration = Duration::from_secs(2);
+
 /// A fault and the time of its injection after the start.
 pub(crate) struct PlannedFault {
     pub(crate) at: Duration,
@@ -47,6 +51,8 @@
     RemoveServer(usize),
     #[display("server {_0} restarts with the same ID at another address")]
     RestartServer(usize),
+    #[display("server {_0} is cold")]
+    CoolServer(usize),
     #[display("an invalid entry is added to the server list")]
     InvalidEntry,
     #[display("a new configuration is written")]
@@ -75,14 +81,33 @@
         SoakSize::Few => MEAN_FAULT_PAUSE,
         SoakSize::Many => MEAN_FAULT_PAUSE / 3,
     };
+    let mut planned = plan_at_random_times(options.duration, pause, random, draw_fault);
+    let mut cold_random = StdRng::seed_from_u64(!options.seed);
+    let cool_server = |random: &mut StdRng| FaultKind::CoolServer(random.random_range(0..1_000));
+    planned.extend(plan_at_random_times(
+        options.duration,
+        MEAN_COLD_PAUSE,
+        &mut cold_random,
+        cool_server,
+    ));
+    planned.sort_by_key(|fault| fault.at);
+    planned
+}
+
+fn plan_at_random_times(
+    duration: Duration,
+    mean_pause: Duration,
+    random: &mut StdRng,
+    draw: impl Fn(&mut StdRng) -> FaultKind,
+) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
     let mut at = Duration::ZERO;
     loop {
-        at += pause.mul_f64(random.random_range(0.2..1.8));
-        if at >= options.duration {
+        at += mean_pause.mul_f64(random.random_range(0.2..1.8));
+        if at >= duration {
             return planned;
         }
-        planned.push(PlannedFault { at, kind: draw_fault(random) });
+        planned.push(PlannedFault { at, kind: draw(random) });
     }
 }
 
--- a/components/testkit/src/soak/fleet.rs
+++ b/components/testkit/src/soak/fleet.rs
@@ -10,7 +10,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use routes::{ExecutionSemantics, RouteTable, ServerRecord};
+use model::RequestRate;
+use routes::{ExecutionSemantics, RouteTable, ServerRecord, WarmUp};
 
 use crate::daemons::free_address;
 use crate::fault_proxy::FaultProxy;
@@ -28,6 +29,10 @@
 /// Text in the target or body of a request that crashes its server.
 pub(crate) const CRASH_TEXT: &str = "poison";
 
+/// How servers warm up.
+pub(crate) const WARM_UP: WarmUp =
+    WarmUp { duration: Duration::from_secs(3), rate: RequestRate(4.1) };
+
 /// Time from the crash of a server until it is back.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
 
@@ -198,6 +203,9 @@
                 self.remove_server(number, matches!(kind, FaultKind::DrainServer(_))).await;
             }
             FaultKind::RestartServer(number) => self.restart_server(number).await,
+            FaultKind::CoolServer(number) => {
+                self.server(number).hosted_server.set_cold(WARM_UP.duration);
+            }
             FaultKind::InvalidEntry => {
                 self.platform.put_raw_row(TableName::Servers, "junk", "{\"address\":");
             }
@@ -347,7 +355,11 @@
         route.timeout = Duration::from_secs(3);
         route.target_latency = Duration::from_secs(1);
     }
-    hosted_config(version, routes)
+    let mut config = hosted_config(version, routes);
+    for info in config.services.values_mut() {
+        info.warm_up = Some(WARM_UP);
+    }
+    config
 }
 
 /// Returns the prefix of the route that only this version has.
--- a/tests/hosted_cold_servers.rs
+++ b/tests/hosted_cold_servers.rs
@@ -10,8 +10,8 @@
 use model::RequestRate;
 use routes::WarmUp;
 use testkit::{
-    FakePlatform, HostedBehaviour, HostedDaemon, HostedRun, HostedServer, call, eventually,
-    free_address, hosted_config, hosted_request, standard_routes,
+    COLD_OVER, COLD_SLACK, FakePlatform, HostedBehaviour, HostedDaemon, HostedServer, call,
+    eventually, free_address, hosted_config, hosted_request, peak_per_second, standard_routes,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -21,7 +21,7 @@
 const WARM_UP: WarmUp = WarmUp { duration: Duration::from_secs(3), rate: RequestRate(4.1) };
 
 /// Requests that a cold server may get in any second, by the settings of the daemons.
-const MAX_PER_SECOND: f64 = 4.1 * 1.5 + 8.0;
+const MAX_PER_SECOND: f64 = WARM_UP.rate.0 * COLD_OVER + COLD_SLACK;
 
 /// Smallest part of the agreed rate that a cold server gets on a burst of few VMs.
 const MIN_USE: f64 = 0.7;
@@ -114,16 +114,6 @@
     }
 }
 
-/// Largest number of runs that started in a second, of those that started from `start` to `end`.
-fn peak(runs: &[HostedRun], start: Instant, end: Instant) -> usize {
-    let started: Vec<Instant> =
-        runs.iter().map(|run| run.started_at).filter(|at| (start..end).contains(at)).collect();
-    let in_second = |from: &Instant| {
-        started.iter().filter(|at| (*from..*from + Duration::from_secs(1)).contains(*at)).count()
-    };
-    started.iter().map(in_second).max().unwrap_or(0)
-}
-
 /// Guards against VMs that each take a cold server for an idle one, and against a cold server that
 /// gets nothing, or nothing more once it is warm.
 #[tokio::test(flavor = "multi_thread")]
@@ -138,17 +128,17 @@
     let warm_at = start + COLD_TIME;
     eventually("the server is used normally", async || {
         let runs = cold.runs();
-        peak(&runs, warm_at, Instant::now()) as f64 > 2.0 * MAX_PER_SECOND
+        peak_per_second(&runs, &(warm_at..Instant::now())) as f64 > 2.0 * MAX_PER_SECOND
     })
     .await;
     assert!(burst.end().await > 0, "requests are served");
     let runs = cold.runs();
-    let highest = peak(&runs, start, warm_at);
+    let highest = peak_per_second(&runs, &(start..warm_at));
     let count = runs.iter().filter(|run| run.started_at < warm_at).count();
     let rate = count as f64 / COLD_TIME.as_secs_f64();
     println!("{highest} requests in the worst second, {rate:.2} per second");
     assert!(highest as f64 <= MAX_PER_SECOND, "{highest} requests in a second");
-    let wanted = WARM_UP.rate.0 * 1.5;
+    let wanted = WARM_UP.rate.0 * COLD_OVER;
     assert!(rate >= MIN_USE * wanted, "{rate:.2} of {wanted:.2} requests per second");
 }
 
@@ -168,7 +158,7 @@
     let start = Instant::now();
     let burst = fleet.start_burst();
     sleep(COLD_TIME).await;
-    let highest = peak(&server.runs(), start, start + COLD_TIME);
+    let highest = peak_per_second(&server.runs(), &(start..start + COLD_TIME));
     burst.end().await;
     println!("{highest} requests in the worst second");
     assert!(highest > 0, "a cold server gets work");
@@ -191,7 +181,7 @@
     let start = Instant::now();
     let burst = fleet.start_burst();
     sleep(Duration::from_secs(3)).await;
-    let highest = peak(&server.runs(), start, Instant::now());
+    let highest = peak_per_second(&server.runs(), &(start..Instant::now()));
     burst.end().await;
     assert!(highest > 0, "a cold server gets work");
     assert!(highest as f64 <= MAX_PER_SECOND, "{highest} requests in a second");
@@ -215,7 +205,7 @@
     restarted.set_cold(COLD_TIME);
     let crashed_at = restarted.crashed_at()[0];
     sleep(Duration::from_secs(4)).await;
-    let highest = peak(&restarted.runs(), crashed_at, Instant::now());
+    let highest = peak_per_second(&restarted.runs(), &(crashed_at..Instant::now()));
     burst.end().await;
     restart.abort();
     println!("{highest} requests in the worst second");
