--- a/components/testkit/src/soak/faults.rs
+++ b/components/testkit/src/soak/faults.rs
@@ -15,6 +15,9 @@
 
 /// Mean pause between two changes of the evacuated zones.
 const MEAN_EVACUATION_PAUSE: Duration = Duration::from_millis(1_500);
+/// Mean pause between two servers that become cold. They are drawn apart from the other faults, so
+/// that a seed keeps those.
+const MEAN_COLD_PAUSE: Duration = Duration::from_secs(2);
 
 /// A fault and the time of its injection after the start.
 pub(crate) struct PlannedFault {
@@ -50,6 +53,8 @@
     RemoveServer(usize),
     #[display("server {_0} restarts with the same ID at another address")]
     RestartServer(usize),
+    #[display("server {_0} is cold")]
+    CoolServer(usize),
     #[display("an invalid entry is added to the server list")]
     InvalidEntry,
     #[display("a new configuration is written")]
@@ -102,14 +107,33 @@
         SoakSize::Few => MEAN_FAULT_PAUSE,
         SoakSize::Many => MEAN_FAULT_PAUSE / 3,
     };
+    let mut planned = plan_at_random_times(options.duration, pause, random, draw_fault);
+    let mut cold_random = StdRng::seed_from_u64(!options.seed);
+    let cool_server = |random: &mut StdRng| FaultKind::CoolServer(random.random_range(0..1_000));
+    planned.extend(plan_at_random_times(
+        options.duration,
+        MEAN_COLD_PAUSE,
+        &mut cold_random,
+        cool_server,
+    ));
+    planned.sort_by_key(|fault| fault.at);
+    planned
+}
+
+fn plan_at_random_times(
+    duration: Duration,
+    mean_pause: Duration,
+    random: &mut StdRng,
+    draw: impl Fn(&mut StdRng) -> FaultKind,
+) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
     let mut at = Duration::ZERO;
     loop {
-        at += pause.mul_f64(random.random_range(0.2..1.8));
-        if at >= options.duration {
+        at += mean_pause.mul_f64(random.random_range(0.2..1.8));
+        if at >= duration {
             return planned;
         }
-        planned.push(PlannedFault { at, kind: draw_fault(random) });
+        planned.push(PlannedFault { at, kind: draw(random) });
     }
 }
 
