--- a/tests/hosted_partitioned_vms.rs
+++ b/tests/hosted_partitioned_vms.rs
@@ -261,7 +261,7 @@
 
 /// Number of requests of the account "anna" that got a credit at a VM.
 async fn granted_count(daemon: &HostedDaemon) -> usize {
-    let name = "mustardrail_account_requests_total{account=\"anna\",outcome=\"granted\"} ";
+    let name = "mustardrail_account_credits_total{account=\"anna\",outcome=\"granted\"} ";
     let request = CallRequest::get(daemon.metrics, "test", "/metrics");
     let response = call(&request).await.expect("the daemon responds");
     let text = response.text();
--- a/tests/hosted_quotas.rs
+++ b/tests/hosted_quotas.rs
@@ -230,6 +230,6 @@
     let metrics = CallRequest::get(daemon.metrics, "test", "/metrics");
     let metrics = call(&metrics).await.expect("the daemon responds");
     let text = String::from_utf8_lossy(&metrics.body).into_owned();
-    let counter = "mustardrail_account_requests_total{account=\"limited\",outcome=\"refused\"} ";
+    let counter = "mustardrail_account_credits_total{account=\"limited\",outcome=\"refused\"} ";
     assert!(text.contains(counter), "{text}");
 }
