Bound what a stranger's crash reports cost a relay

Cause: the relays' port takes anybody. A stranger that sent crash reports without a pause blocked the relay's thread: each report above 4,096 is searched a place, and its task never gave way to others. Change: a VM adds at most 4,096 new reports of others at once and 500 a second, and a relay yields after each message. Ruled out: a check of who connects; the settings hold no secret.

--- a/components/peers/src/relay/server.rs
+++ b/components/peers/src/relay/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use observe::{Logger, info, warn};
@@ -80,6 +81,8 @@
             }
             received = socket.receive(), if held.exchanges_crash_reports => {
                 needs_helpers = hub.apply(&connection, received?).unwrap_or(needs_helpers);
+                // One that sends without a pause must not delay the others.
+                yield_now().await;
                 if !needs_helpers {
                     continue;
                 }
@@ -115,6 +118,7 @@
             reports = crash_feed.next() => RelayMessage::CrashReports(reports),
             received = socket.receive() => {
                 hub.apply(&connection, received?);
+                yield_now().await;
                 continue;
             }
             _ = helper_ticks.tick() => RelayMessage::Helpers(hub.own_helpers()),
--- a/components/quarantine/src/board.rs
+++ b/components/quarantine/src/board.rs
@@ -6,21 +6,31 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::Instant;
 
+use limits::TokenBucket;
 use model::FastSet;
 
 use crate::fingerprint::Fingerprint;
-use crate::ledger::{CrashLedger, CrashLimits, Decision};
+use crate::ledger::{CrashLedger, CrashLimits, Decision, MAX_REPORTS};
 use crate::report::{CrashReport, IncarnationKey};
 
 /// Capacity of the queue of new reports to one receiver. A receiver that falls further behind takes
 /// a snapshot.
 const UPDATE_QUEUE_CAPACITY: usize = 64;
 
+/// New reports of other VMs that are added at once, as many as a ledger holds.
+const REMOTE_BURST: f64 = MAX_REPORTS as f64;
+
+/// New reports of other VMs that are added per second. A crash leads to a few at each VM, and whoever
+/// reaches a relay's port can send any number.
+const REMOTE_RATE: f64 = 500.0;
+
 /// Crash reports that the tasks of an entry VM share: the request path, and the exchange with other
 /// VMs.
 #[derive(Debug)]
 pub struct CrashBoard {
     ledger: Mutex<CrashLedger>,
+    /// Limits new reports of other VMs. Locked after `ledger`.
+    remote_bucket: Mutex<TokenBucket>,
     updates: broadcast::Sender<Vec<CrashReport>>,
     /// Requests about which this VM itself made a report.
     own_reports: broadcast::Sender<Fingerprint>,
@@ -37,13 +47,24 @@
     pub fn new(limits: CrashLimits) -> Self {
         let updates = broadcast::Sender::new(UPDATE_QUEUE_CAPACITY);
         let own_reports = broadcast::Sender::new(UPDATE_QUEUE_CAPACITY);
-        Self { ledger: Mutex::new(CrashLedger::new(limits)), updates, own_reports }
+        let bucket = TokenBucket::new(REMOTE_RATE, REMOTE_BURST, Instant::now());
+        Self {
+            ledger: Mutex::new(CrashLedger::new(limits)),
+            remote_bucket: Mutex::new(bucket),
+            updates,
+            own_reports,
+        }
     }
 
-    /// Adds reports, and passes on those that are new.
+    /// Adds reports of other VMs, and passes on those that are new. Too many new ones are ignored.
     pub fn merge(&self, reports: &[CrashReport], now: Instant) {
         let mut ledger = self.ledger();
-        let new = reports.iter().copied().filter(|report| ledger.merge(report, now)).collect();
+        let mut bucket = self.remote_bucket.lock().expect("bucket lock is never poisoned");
+        let mut merge = |report: &CrashReport| {
+            let is_allowed = ledger.holds(report) || bucket.try_take(now).is_ok();
+            is_allowed && ledger.merge(report, now)
+        };
+        let new = reports.iter().copied().filter(|report| merge(report)).collect();
         self.pass_on(new);
     }
 
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -26,7 +26,7 @@
 use crate::report::{CrashReport, IncarnationKey};
 
 /// Maximum number of reports held; beyond it, the oldest ones are removed.
-const MAX_REPORTS: usize = 4096;
+pub(crate) const MAX_REPORTS: usize = 4096;
 
 /// Maximum number of requests remembered to which a server has responded.
 const MAX_RESPONDED: usize = 4096;
@@ -142,6 +142,12 @@
         Duration::from_millis(report.age_ms) >= self.limits.quarantine_time
     }
 
+    /// Whether a report about the same request and server is held.
+    pub fn holds(&self, report: &CrashReport) -> bool {
+        let held_reports = self.reports.get(&report.content);
+        held_reports.is_some_and(|held_reports| held_reports.contains_key(&report.server))
+    }
+
     /// Adds a report. Returns whether it says anything new.
     pub fn merge(&mut self, report: &CrashReport, now: Instant) -> bool {
         if self.is_expired(report) {
