--- a/components/peers/src/relay/server.rs
+++ b/components/peers/src/relay/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use limits::CreditMessages;
@@ -89,6 +90,8 @@
             received = socket.receive(), if held.exchanges_crash_reports => {
                 let needs = hub.apply(&connection, &credits, false, received?);
                 needs_helpers = needs.unwrap_or(needs_helpers);
+                // One that sends without a pause must not delay the others.
+                yield_now().await;
                 if !needs_helpers {
                     continue;
                 }
@@ -137,6 +140,7 @@
             reports = crash_feed.next() => RelayMessage::CrashReports(reports),
             received = socket.receive() => {
                 hub.apply(&connection, &credits, true, received?);
+                yield_now().await;
                 continue;
             }
             CreditMessages { requests, grants } = credits.next() => {
