--- a/components/proxy/src/hosted/pipelining/budget.rs
+++ b/components/proxy/src/hosted/pipelining/budget.rs
@@ -50,3 +50,6 @@
         self.resize(0);
     }
 }
+
+#[cfg(test)]
+mod tests;
