One wrapper for TCP streams whose reads are observed or changed

Cause: the stream of pipelined connections repeated the write half of the stream that records when it last received data. Change: WrappedStream passes writes on and reads with a closure, for both.

--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -18,7 +18,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::{Request, Response};
-use tokio::io::ReadBuf;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -27,11 +27,12 @@
 use crate::hosted::pipelining::budget::BudgetShare;
 use crate::hosted::pipelining::read_ahead::{BodyLength, ReadAhead};
 use crate::hosted::pipelining::started_request::{StartedRequest, may_overlap, read_request};
+use crate::hosted::pipelining::stream::PipelineReader;
 use crate::hosted::pipelining::tracked_body::TrackedBody;
+use crate::wrapped_stream::WrappedStream;
 
 pub(crate) use crate::hosted::pipelining::budget::PipelineBudget;
 pub(crate) use crate::hosted::pipelining::started_request::StartedEarly;
-pub(crate) use crate::hosted::pipelining::stream::PipelinedStream;
 
 /// Largest number of requests of a connection that are started before their turn.
 const MAX_STARTED_REQUESTS: usize = 16;
@@ -95,8 +96,11 @@
     }
 
     /// Returns the stream that the HTTP server reads.
-    pub(crate) fn wrap(&self, stream: TcpStream) -> PipelinedStream {
-        PipelinedStream::new(stream, self.clone())
+    pub(crate) fn wrap(&self, stream: TcpStream) -> impl AsyncRead + AsyncWrite + Unpin + use<> {
+        let mut reader = PipelineReader::new(self.clone());
+        WrappedStream::new(stream, move |stream, context, buffer| {
+            reader.poll_read(stream, context, buffer)
+        })
     }
 
     /// Whether the HTTP server has received a request.
--- a/components/proxy/src/hosted/pipelining/stream.rs
+++ b/components/proxy/src/hosted/pipelining/stream.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
+use tokio::io::{AsyncRead, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
@@ -15,22 +15,41 @@
 /// Interval between two checks whether the caller has closed the connection, while nothing is read.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A caller's connection that passes on one request at a time.
-pub(crate) struct PipelinedStream {
-    stream: TcpStream,
+/// Reads a caller's connection and passes on one request at a time.
+pub(super) struct PipelineReader {
     pipeline: Pipeline,
     close_check: Option<Pin<Box<Sleep>>>,
 }
 
-impl PipelinedStream {
-    /// Wraps the stream of a connection.
-    pub(super) fn new(stream: TcpStream, pipeline: Pipeline) -> Self {
-        Self { stream, pipeline, close_check: None }
+impl PipelineReader {
+    /// Creates a reader of the connection of a pipeline.
+    pub(super) fn new(pipeline: Pipeline) -> Self {
+        Self { pipeline, close_check: None }
+    }
+
+    /// Reads the connection for the HTTP server.
+    pub(super) fn poll_read(
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.pipeline.may_pass() {
+            self.close_check = None;
+            return self.poll_pass(stream, context, buffer);
+        }
+        self.pipeline.start_requests();
+        let polled = self.poll_end(stream, context, buffer);
+        if polled.is_pending() {
+            self.pipeline.wake_after_response(context.waker());
+        }
+        polled
     }
 
     /// Passes on received bytes up to the end of a request's head or body.
     fn poll_pass(
         &mut self,
+        stream: &mut TcpStream,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -38,7 +57,7 @@
             return Poll::Ready(Ok(()));
         }
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        ready!(Pin::new(&mut *stream).poll_read(context, buffer))?;
         let passed = self.pipeline.pass_received(&buffer.filled()[before..]);
         buffer.set_filled(before + passed);
         Poll::Ready(Ok(()))
@@ -47,16 +66,17 @@
     /// Reads ahead while a response is in progress, and completes only when the connection ends.
     fn poll_end(
         &mut self,
+        stream: &mut TcpStream,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
             let room = self.pipeline.room();
             if room == 0 {
-                return self.poll_close_check(context);
+                return self.poll_close_check(stream, context);
             }
             let mut received = buffer.take(room);
-            ready!(Pin::new(&mut self.stream).poll_read(context, &mut received))?;
+            ready!(Pin::new(&mut *stream).poll_read(context, &mut received))?;
             if received.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
@@ -66,9 +86,13 @@
     }
 
     /// Completes when the caller has closed the connection.
-    fn poll_close_check(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_close_check(
+        &mut self,
+        stream: &TcpStream,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
         loop {
-            let ready = self.stream.ready(Interest::READABLE).now_or_never().transpose()?;
+            let ready = stream.ready(Interest::READABLE).now_or_never().transpose()?;
             if ready.is_some_and(Ready::is_read_closed) {
                 return Poll::Ready(Ok(()));
             }
@@ -79,52 +103,3 @@
         }
     }
 }
-
-impl AsyncRead for PipelinedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.pipeline.may_pass() {
-            self.close_check = None;
-            return self.poll_pass(context, buffer);
-        }
-        self.pipeline.start_requests();
-        let polled = self.poll_end(context, buffer);
-        if polled.is_pending() {
-            self.pipeline.wake_after_response(context.waker());
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for PipelinedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -20,7 +20,7 @@
 mod request_body;
 mod response_body;
 mod service;
-mod timestamped_stream;
+mod wrapped_stream;
 
 pub use claim_coordinator::{ClaimCoordinator, run_claim_transactions};
 pub use handler::RequestHandler;
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -3,12 +3,14 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -17,7 +19,7 @@
 use model::FastMap;
 
 use crate::body::BackendRequestBody;
-use crate::timestamped_stream::TimestampedStream;
+use crate::wrapped_stream::WrappedStream;
 
 /// Timeout for opening a connection, which takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -257,6 +259,21 @@
     }
 }
 
+/// Wraps a stream so that each read that returns data sets `last_received_at` to the current time.
+fn timestamped(
+    stream: TcpStream,
+    last_received_at: Arc<AtomicInstant>,
+) -> impl AsyncRead + AsyncWrite + Unpin {
+    WrappedStream::new(stream, move |stream, context, buffer| {
+        let before = buffer.filled().len();
+        let polled = Pin::new(stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            last_received_at.set(Instant::now());
+        }
+        polled
+    })
+}
+
 async fn open_connection(
     address: SocketAddr,
     reservation: OpenReservation,
@@ -268,7 +285,7 @@
     let now = Instant::now();
     let last_received_at = Arc::new(AtomicInstant::new(now));
     last_received_at.set(now);
-    let stream = TimestampedStream::new(stream, Arc::clone(&last_received_at));
+    let stream = timestamped(stream, Arc::clone(&last_received_at));
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     // The exchange receives the connection's errors through `sender`.
--- a/components/proxy/src/timestamped_stream.rs
+++ b/components/proxy/src/wrapped_stream.rs
@@ -1,45 +1,44 @@
-//! A TCP stream that records when it last received data.
+//! A TCP stream whose reads are observed or changed.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
-use board::AtomicInstant;
-
-/// A TCP stream to a backend server.
-pub(crate) struct TimestampedStream {
+/// A TCP stream that is read by a function. Writes are those of the stream.
+pub(crate) struct WrappedStream<R> {
     stream: TcpStream,
-    last_received_at: Arc<AtomicInstant>,
+    /// Reads the stream as `AsyncRead::poll_read` does.
+    read: R,
 }
 
-impl TimestampedStream {
-    /// Wraps a stream. Each read that returns data sets `last_received_at` to the current time.
-    pub(crate) fn new(stream: TcpStream, last_received_at: Arc<AtomicInstant>) -> Self {
-        Self { stream, last_received_at }
+impl<R> WrappedStream<R>
+where
+    R: FnMut(&mut TcpStream, &mut Context<'_>, &mut ReadBuf<'_>) -> Poll<io::Result<()>> + Unpin,
+{
+    /// Wraps a stream that `read` reads.
+    pub(crate) fn new(stream: TcpStream, read: R) -> Self {
+        Self { stream, read }
     }
 }
 
-impl AsyncRead for TimestampedStream {
+impl<R> AsyncRead for WrappedStream<R>
+where
+    R: FnMut(&mut TcpStream, &mut Context<'_>, &mut ReadBuf<'_>) -> Poll<io::Result<()>> + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.last_received_at.set(Instant::now());
-        }
-        polled
+        let Self { stream, read } = &mut *self;
+        read(stream, context, buffer)
     }
 }
 
-impl AsyncWrite for TimestampedStream {
+impl<R: Unpin> AsyncWrite for WrappedStream<R> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
