Split the placement group by limits and zones

Change: its methods on limits and on zones are in files of their own, unchanged. The flag for services whose probes tell whether servers are warm has a name without "asks".

--- a/components/balance/src/placement/cold.rs
+++ b/components/balance/src/placement/cold.rs
@@ -110,14 +110,14 @@
 }
 
 impl WarmUpState {
-    /// Returns the state; `asks_probes` says whether probes tell whether servers are warm.
-    pub(crate) fn warmth(&self, asks_probes: bool, now: Instant) -> Warmth {
+    /// Returns the state; `uses_probes` says whether probes tell whether servers are warm.
+    pub(crate) fn warmth(&self, uses_probes: bool, now: Instant) -> Warmth {
         if self.is_cold(now) {
             return Warmth::Cold;
         }
         let is_suspected = self.suspected_until.is_some_and(|until| now < until);
         let is_unseen =
-            asks_probes && self.seen_at.is_none_or(|seen_at| now > seen_at + WARM_VALIDITY);
+            uses_probes && self.seen_at.is_none_or(|seen_at| now > seen_at + WARM_VALIDITY);
         match is_suspected || is_unseen {
             true => Warmth::Unknown,
             false => Warmth::Warm,
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -1,26 +1,25 @@
 //! Server selection based on load reports that are requested right before a request is sent.
 
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
-use model::{FastMap, ProbeRate, RequestRate, ServerId, ZoneName};
+use model::{FastMap, RequestRate, ServerId, ZoneName};
 
-use crate::placement::cold::{ColdLimits, WarmUpResponse, Warmth};
+use crate::placement::cold::ColdLimits;
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
 use crate::placement::notices::{FirstReturn, LeavingServers, NoticeEffect, ServerNotice};
 use crate::placement::persistence::decayed;
-use crate::placement::server::{
-    PlacementServer, SendRules, ServerIncarnation, ServerLoad, ServerState,
-};
-use crate::placement::turns::{NamedLimit, SendTurns, check_interval};
+use crate::placement::server::{PlacementServer, ServerIncarnation, ServerLoad, ServerState};
+use crate::placement::turns::SendTurns;
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
 
+mod limits;
+mod zones;
+
 /// Servers compared per choice; larger groups are sampled.
 const MAX_CANDIDATES: usize = 32;
 
@@ -28,13 +27,6 @@
 /// same reports from probing the same servers.
 const CANDIDATE_COST_NOISE: f64 = 0.3;
 
-/// Number of preferred servers per entry VM in a large group. Connections to a few servers stay
-/// open, and all entry VMs together still use every server.
-const PREFERRED_SERVERS: usize = 12;
-
-/// Number of servers above which an entry VM has preferred servers.
-const LARGE_GROUP_THRESHOLD: usize = 24;
-
 /// Extra cost of a server that isn't preferred in the choice of candidates, in typical service
 /// times of the request.
 const NON_PREFERRED_COST_RATIO: f64 = 0.4;
@@ -59,9 +51,6 @@
 /// since a bad server is better than none.
 const MAX_EJECTED_RATIO: f64 = 0.34;
 
-/// Probes per second with which the fleet checks whether a server still names its limit.
-const LIMIT_CHECK_RATE: ProbeRate = ProbeRate(10.0);
-
 /// What a response says about the server's limit.
 #[derive(Debug, Clone, Copy)]
 pub struct LimitResponse {
@@ -160,110 +149,6 @@
         }
     }
 
-    /// Sets this entry VM's turns at servers that have a limit. Without turns, it uses all of a
-    /// limit.
-    pub fn set_turns(&mut self, turns: SendTurns) {
-        self.turns = Some(turns);
-    }
-
-    /// Sets the limits of cold servers; `None` if they have none.
-    pub fn set_cold_limits(&mut self, limits: Option<ColdLimits>) {
-        self.cold_limits = limits;
-    }
-
-    /// Records what a server's own response says about its warm-up. Returns whether it is cold and
-    /// was not known to be.
-    pub fn record_warm_up(
-        &mut self,
-        ticket: ServerTicket,
-        response: WarmUpResponse,
-        now: Instant,
-    ) -> bool {
-        let Some(state) = self.state_mut(ticket) else {
-            return false;
-        };
-        let was_cold = state.warm_up.is_cold(now);
-        state.warm_up.record_response(response, now);
-        let (is_cold, cold_until) = (state.warm_up.is_cold(now), state.warm_up.cold_until());
-        self.any_cold_until = self.any_cold_until.max(cold_until);
-        is_cold && !was_cold
-    }
-
-    /// Returns the number of servers that are cold.
-    pub fn cold_servers(&self, now: Instant) -> usize {
-        if self.any_cold_until.is_none_or(|until| until <= now) {
-            return 0;
-        }
-        let rules = self.send_rules();
-        let states = self.servers.iter().map(|(_, state)| state);
-        states.filter(|state| rules.warmth(state, now) == Warmth::Cold).count()
-    }
-
-    /// Whether a probe should show whether a server is cold before it gets a request.
-    pub fn may_be_cold(&self, ticket: ServerTicket, now: Instant) -> bool {
-        let rules = self.send_rules();
-        self.state(ticket).is_some_and(|state| rules.warmth(state, now) == Warmth::Unknown)
-    }
-
-    /// Whether a request for which `record_sent` was called at `taken_at` may be sent now: the
-    /// server isn't cold, or the turn that was taken isn't over.
-    pub fn holds_turn(&self, ticket: ServerTicket, taken_at: Instant, now: Instant) -> bool {
-        let rules = self.send_rules();
-        self.state(ticket).is_some_and(|state| state.holds_turn(taken_at, &rules, now))
-    }
-
-    fn send_rules(&self) -> SendRules<'_> {
-        let asks_probes = self.is_worth_probing();
-        SendRules::new(self.turns.as_ref(), self.cold_limits.as_ref(), asks_probes)
-    }
-
-    /// Records the limit that a response named, or that it named none. Returns whether the server's
-    /// limit changed.
-    pub fn record_limit(
-        &mut self,
-        ticket: ServerTicket,
-        named: LimitResponse,
-        now: Instant,
-    ) -> bool {
-        let Some(state) = self.state_mut(ticket) else {
-            return false;
-        };
-        match (named.rate, &mut state.limit) {
-            (Some(rate), Some(limit)) => limit.update(rate, named.is_probe),
-            (Some(rate), None) => {
-                state.limit = Some(NamedLimit::new(rate, named.is_probe, now));
-                state.gate.record_limited(now);
-                true
-            }
-            (None, Some(limit)) if limit.is_ended_by(named) => {
-                state.limit = None;
-                true
-            }
-            (None, _) => false,
-        }
-    }
-
-    /// Returns a server whose limit should be checked with a probe now, if any.
-    pub fn limit_check(&mut self, now: Instant) -> Option<ServerTicket> {
-        let interval = check_interval(self.turns.as_ref(), LIMIT_CHECK_RATE, now);
-        self.servers.iter_mut().enumerate().find_map(|(index, (serial, state))| {
-            let is_withdrawn = state.is_withdrawn(now);
-            let limit = state.limit.as_mut().filter(|limit| now >= limit.checked_at + interval)?;
-            if is_withdrawn {
-                return None;
-            }
-            limit.checked_at = now;
-            Some(ServerTicket { index, serial: *serial })
-        })
-    }
-
-    /// Records that a request is being sent to a server, which counts against its limit.
-    pub fn record_sent(&mut self, ticket: ServerTicket, now: Instant) {
-        if let Some(state) = self.state_mut(ticket) {
-            state.record_sent(now);
-        }
-    }
-
     /// Records what a response says about its server.
     pub fn record_notice(
         &mut self,
@@ -301,11 +186,6 @@
         returns.min_by_key(|first| first.at)
     }
 
-    /// Returns the number of servers that name a limit.
-    pub fn limited_servers(&self) -> usize {
-        self.servers.iter().filter(|(_, state)| state.limit.is_some()).count()
-    }
-
     /// Whether to probe servers for their load. If they don't report it, a health check only takes
     /// a slot, like any other request.
     pub fn is_worth_probing(&self) -> bool {
@@ -347,62 +227,6 @@
         self.select_preferred();
     }
 
-    /// Replaces the evacuated zones. Their servers get no requests and no probes, and keep their
-    /// state. Those that come back may be cold, unless their own responses to later requests show
-    /// otherwise.
-    pub fn set_evacuated_zones(&mut self, zones: &[ZoneName], now: Instant) {
-        self.evacuated_zones = zones.to_vec();
-        let warm_up_time = self.cold_limits.map(|limits| limits.duration);
-        for (_, state) in &mut self.servers {
-            let has_returned = state.set_evacuated(zones.contains(&state.listed.zone));
-            if let Some(time) = warm_up_time.filter(|_| has_returned) {
-                state.warm_up.suspect(now + time, now);
-            }
-        }
-        self.select_preferred();
-    }
-
-    /// Returns the number of servers in zones that aren't evacuated.
-    pub fn open_servers(&self) -> usize {
-        self.open.len()
-    }
-
-    /// Whether the zone of a listed incarnation is evacuated.
-    pub fn is_incarnation_evacuated(&self, incarnation: &ServerIncarnation) -> bool {
-        let mut states = self.servers.iter().map(|(_, state)| state);
-        states.any(|state| state.is_evacuated && state.listed.key() == incarnation.key())
-    }
-
-    /// Finds the servers outside of evacuated zones, and selects this entry VM's preferred servers
-    /// among them by rendezvous hashing, those of its zone first.
-    /// When a server joins or leaves, few of them change.
-    fn select_preferred(&mut self) {
-        self.open.clear();
-        let servers = self.servers.iter().enumerate();
-        self.open
-            .extend(servers.filter(|(_, (_, state))| !state.is_evacuated).map(|(index, _)| index));
-        let is_large = self.open.len() > LARGE_GROUP_THRESHOLD;
-        let mut ranks: Vec<(bool, u64, usize)> = Vec::new();
-        for (index, (_, state)) in self.servers.iter_mut().enumerate() {
-            state.is_preferred = !is_large;
-            if is_large && !state.is_leaving() && !state.is_evacuated {
-                let is_other_zone = state.listed.zone != self.options.zone;
-                ranks.push((
-                    is_other_zone,
-                    rendezvous_hash(&self.options.vm, state.listed.id.as_str()),
-                    index,
-                ));
-            }
-        }
-        ranks.sort_unstable();
-        self.preferred =
-            ranks.into_iter().take(PREFERRED_SERVERS).map(|(_, _, index)| index).collect();
-        self.preferred.sort_unstable();
-        for index in &self.preferred {
-            self.servers[*index].1.is_preferred = true;
-        }
-    }
-
     /// Returns up to `count` servers with the lowest estimated cost for a request, lowest first.
     /// Leaving servers, those in evacuated zones, those whose limit allows no request now, and those
     /// in `excluded` are skipped; ejected ones are used if no other is left.
@@ -467,18 +291,6 @@
         costs.into_iter().take(count).map(|(_, ticket)| ticket).collect()
     }
 
-    /// Returns the indexes of cold servers at which this entry VM has its turn.
-    fn open_cold_servers(&self, rules: &SendRules<'_>, now: Instant) -> Vec<usize> {
-        if self.any_cold_until.is_none_or(|until| until <= now) {
-            return Vec::new();
-        }
-        let is_open = |state: &ServerState| {
-            rules.warmth(state, now) == Warmth::Cold && state.accepts_request(rules, now)
-        };
-        let servers = self.servers.iter().enumerate();
-        servers.filter(|(_, (_, state))| is_open(state)).map(|(index, _)| index).collect()
-    }
-
     /// Extra cost of a server in the choice of candidates, in typical service times.
     fn candidate_cost_ratio(&self, state: &ServerState) -> f64 {
         let preferred_ratio = if state.is_preferred { 0.0 } else { NON_PREFERRED_COST_RATIO };
@@ -706,13 +518,3 @@
         (ejected + 1) as f64 <= self.open.len() as f64 * MAX_EJECTED_RATIO
     }
 }
-
-/// Rendezvous hash of a server for an entry VM; SipHash with a fixed key gives the same value on
-/// every machine.
-fn rendezvous_hash(vm: &str, server: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(vm.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(server.as_bytes());
-    hasher.finish()
-}
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -101,24 +101,24 @@
     /// limit for cold servers.
     pub(crate) cold_rate: Option<RequestRate>,
     /// Whether probes tell whether servers are warm.
-    pub(crate) asks_probes: bool,
+    pub(crate) uses_probes: bool,
 }
 
 impl<'a> SendRules<'a> {
     pub(crate) fn new(
         turns: Option<&'a SendTurns>,
         cold_limits: Option<&ColdLimits>,
-        asks_probes: bool,
+        uses_probes: bool,
     ) -> Self {
         let cold_rate = cold_limits.map(|limits| limits.divided_rate(turns));
-        Self { turns, cold_rate, asks_probes }
+        Self { turns, cold_rate, uses_probes }
     }
 
     /// Whether a server may be sent requests without regard to its warm-up; always without a limit
     /// for cold servers.
     pub(crate) fn warmth(&self, server: &ServerState, now: Instant) -> Warmth {
         match self.cold_rate {
-            Some(_) => server.warm_up.warmth(self.asks_probes, now),
+            Some(_) => server.warm_up.warmth(self.uses_probes, now),
             None => Warmth::Warm,
         }
     }
