--- a/components/limits/src/quota/allowance.rs
+++ b/components/limits/src/quota/allowance.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use routes::AccountQuota;
+use model::AccountQuota;
 
 use crate::quota::{ALLOWANCE_RATIO, QuotaLimits};
 
--- a/components/limits/src/quota/ledger.rs
+++ b/components/limits/src/quota/ledger.rs
@@ -5,8 +5,7 @@
 
 use tokio::time::Instant;
 
-use model::FastMap;
-use routes::AccountQuota;
+use model::{AccountQuota, FastMap};
 
 use crate::bucket::TokenBucket;
 use crate::quota::{CreditGrant, CreditRequest, QuotaLimits, SLACK_RATIO};
--- a/components/limits/src/quota/requests.rs
+++ b/components/limits/src/quota/requests.rs
@@ -6,8 +6,7 @@
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use model::FastMap;
-use routes::AccountQuota;
+use model::{AccountQuota, FastMap};
 
 use crate::quota::allowance::OwnAllowance;
 use crate::quota::{CreditGrant, CreditRequest, QuotaLimits};
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -16,7 +16,7 @@
 };
 pub use jitter::{jittered, jittered_with};
 pub use keys::{hash_key_bytes, hashes_match};
-pub use quantities::{ByteSize, ProbeRate, RequestRate};
+pub use quantities::{AccountQuota, ByteSize, ProbeRate, RequestRate};
 pub use record::{RecordKey, RecordKind, VersionedRecord, parse_record};
 pub use specs::{
     AccountLimits, AccountSpec, IdempotencyKeyPolicy, IdempotencyRule, OperatorKeyScope,
--- a/components/model/src/quantities.rs
+++ b/components/model/src/quantities.rs
@@ -34,3 +34,12 @@
 )]
 #[serde(transparent)]
 pub struct RequestRate(pub f64);
+
+/// Requests of an account that all entry VMs together may forward.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AccountQuota {
+    /// Requests per second.
+    pub rate: RequestRate,
+    /// Requests beyond the rate at one moment.
+    pub burst: f64,
+}
--- a/components/peers/tests/credits.rs
+++ b/components/peers/tests/credits.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use limits::{CreditGrant, CreditRequest};
-use model::RequestRate;
+use model::{AccountQuota, RequestRate};
 use peers::{
     HeldVersions, RelayHub, RelayMessage, RelaySubscription, SubscriberMessage, serve_relay,
 };
-use routes::{AccountName, AccountQuota, CONFIG_FORMAT, ClientAccount, ClientAccounts, RouteTable};
+use routes::{AccountName, CONFIG_FORMAT, ClientAccount, ClientAccounts, RouteTable};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 
--- a/components/proxy/src/hosted/quota/tests.rs
+++ b/components/proxy/src/hosted/quota/tests.rs
@@ -1,5 +1,5 @@
-use model::RequestRate;
-use routes::{AccountName, AccountQuota};
+use model::{AccountQuota, RequestRate};
+use routes::AccountName;
 
 use super::*;
 
--- a/components/routes/src/accounts.rs
+++ b/components/routes/src/accounts.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderValue;
 use serde::{Deserialize, Serialize};
 
-use model::{FastMap, FastSet, RequestRate, hash_key_bytes, hashes_match};
+use model::{AccountQuota, FastMap, FastSet, hash_key_bytes, hashes_match};
 
 use crate::table::HostedRoute;
 
@@ -61,15 +61,6 @@
     }
 }
 
-/// Requests of an account that all entry VMs together may forward.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct AccountQuota {
-    /// Requests per second.
-    pub rate: RequestRate,
-    /// Requests beyond the rate at one moment.
-    pub burst: f64,
-}
-
 /// A client account.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClientAccount {
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -11,7 +11,7 @@
 mod table;
 
 pub use accounts::{
-    AccountEntry, AccountError, AccountName, AccountQuota, ClientAccount, ClientAccounts, KeyHash,
+    AccountEntry, AccountError, AccountName, ClientAccount, ClientAccounts, KeyHash,
 };
 pub use evacuation::{EvacuatedZones, EvacuationChange};
 pub use interface::{HeaderNames, WireInterface};
--- a/tests/hosted_partitioned_vms.rs
+++ b/tests/hosted_partitioned_vms.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use hyper::Method;
-use model::RequestRate;
-use routes::{AccountEntry, AccountQuota, ServerRecord};
+use model::{AccountQuota, RequestRate};
+use routes::{AccountEntry, ServerRecord};
 use rustix::process::Signal;
 use testkit::{
     CallRequest, FakePlatform, FaultProxy, HostedBehaviour, HostedDaemon, HostedServer,
--- a/tests/hosted_quotas.rs
+++ b/tests/hosted_quotas.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use model::RequestRate;
-use routes::{AccountEntry, AccountQuota, ClientAccount};
+use model::{AccountQuota, RequestRate};
+use routes::{AccountEntry, ClientAccount};
 use testkit::{
     CallRequest, CallResponse, HostedBehaviour, HostedDaemon, HostedFleet, account_entry, call,
     eventually, free_address, hosted_config, request_id, standard_routes,
