Check the servers that responded last before counting a VM as partitioned

Cause: three new connections that fail in a row counted as a partition from all servers. When a third of a service's servers has crashed or is cut off, every VM soon meets three of them; it then forwards its callers' requests to VMs that do the same. Change: a suspicion starts a check of up to four servers on new connections, those that responded last first; only if none responds does the VM forward. Ruled out: responses on kept connections as evidence, which live on in a partition.

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -503,6 +503,13 @@
         self.open.iter().map(|index| self.servers[*index].1.listed.address).collect()
     }
 
+    /// Whether the server at an address may be probed: it hasn't withdrawn and isn't in an evacuated
+    /// zone.
+    pub fn may_probe(&self, address: SocketAddr, now: Instant) -> bool {
+        let mut states = self.servers.iter().map(|(_, state)| state);
+        states.any(|state| state.listed.address == address && !state.is_withdrawn(now))
+    }
+
     /// Returns the age of a server's last report.
     pub fn report_age(&self, ticket: ServerTicket, now: Instant) -> Option<Duration> {
         self.state(ticket)?.report_age(now)
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -125,6 +125,8 @@
     background.spawn(async move { expiring_view.run_evacuation_expiry().await });
     background.spawn(async move { view.run_server_expiry().await });
     background.spawn(sweep_idle_connections(Arc::clone(&services)));
+    let (checked_services, checked_board) = (Arc::clone(&services), Arc::clone(&board));
+    background.spawn(async move { checked_services.run_access_checks(&checked_board).await });
     background.spawn(log_settings_reloads(path, settings.clone(), log.clone()));
     let handler = Arc::new(HostedHandler::new(
         Arc::clone(&board),
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -4,9 +4,10 @@
 //! `listener` reads a request, `pipelining` those behind it, `handler` finds its route, `identity`
 //! its client account, `dispatch` decides how often and when it
 //! is sent, `selection` selects a server, `attempt` sends it once, and `refusal` builds the
-//! response if there is none from a server. `service` holds the state of each service,
+//! response if there is none from a server. `server_access` knows whether any server is reachable. `service` holds the state of each service,
 //! `route_stats` that of each route, `quota` the credits of client accounts.
 
+mod access_check;
 mod attempt;
 mod contacts;
 mod crash_detector;
--- a/components/proxy/src/hosted/server_access.rs
+++ b/components/proxy/src/hosted/server_access.rs
@@ -3,18 +3,23 @@
 //! A VM can be partitioned from all servers while its callers and other VMs reach it. Open
 //! connections may live on meanwhile, so only new ones tell. Other VMs then serve its callers'
 //! requests, see `forward`.
+//!
+//! Several failures in a row are a suspicion only: where a third of the servers of a service have
+//! crashed, every VM soon meets three of them. `access_check` then tries the servers that responded
+//! last, and only if none of them does, this VM counts as partitioned.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use board::HostedBoard;
 use observe::{HostedMetrics, Logger, info, warn};
 
-/// Number of servers that must have failed in a row; all, if there are fewer.
+/// Number of servers that must have failed in a row for a suspicion; all, if there are fewer.
 const MIN_FAILED_SERVERS: usize = 3;
 
 /// Interval at which a VM without servers looks for one.
@@ -26,6 +31,8 @@
     /// Number of servers of all services.
     server_count: AtomicUsize,
     state: Mutex<AccessState>,
+    /// Notified when a check is needed.
+    suspected: Notify,
     metrics: HostedMetrics,
     log: Logger,
 }
@@ -40,7 +47,14 @@
 impl ServerAccess {
     pub(crate) fn new(board: Arc<HostedBoard>, metrics: HostedMetrics, log: Logger) -> Self {
         metrics.server_access.set(1);
-        Self { board, server_count: AtomicUsize::new(0), state: Mutex::default(), metrics, log }
+        Self {
+            board,
+            server_count: AtomicUsize::new(0),
+            state: Mutex::default(),
+            suspected: Notify::new(),
+            metrics,
+            log,
+        }
     }
 
     /// Sets the number of servers of all services.
@@ -69,12 +83,26 @@
             state.failed.push(address);
         }
         let required = self.server_count.load(Ordering::Relaxed).clamp(1, MIN_FAILED_SERVERS);
-        let is_lost = state.failed.len() >= required;
+        let is_suspected = state.failed.len() >= required;
         drop(state);
-        if is_lost && self.board.set_reaches_servers(false) {
+        if is_suspected && !self.is_lost() {
+            self.suspected.notify_one();
+        }
+    }
+
+    /// Waits until so many servers have failed in a row that this VM may reach none.
+    pub(crate) async fn suspicion(&self) {
+        self.suspected.notified().await;
+    }
+
+    /// Records that none of the servers that were checked because of a suspicion has responded.
+    /// Returns without effect if a server responded on a new connection meanwhile.
+    pub(crate) fn confirm_loss(&self) {
+        let failed = self.state().failed.len();
+        if failed > 0 && self.board.set_reaches_servers(false) {
             self.metrics.server_access.set(0);
             warn!(self.log, "servers: none is reachable; forwarding requests to other VMs";
-                "failed" => required, "helpers" => self.board.helpers().len());
+                "failed" => failed, "helpers" => self.board.helpers().len());
         }
     }
 
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -402,17 +402,27 @@
         address: SocketAddr,
         count: usize,
     ) -> Vec<(Arc<HostedService>, SocketAddr)> {
-        let mut others = Vec::new();
-        for service in self.services.load().values() {
-            let mut addresses = service.group().open_addresses();
-            addresses.retain(|other| *other != address);
-            others.extend(addresses.into_iter().map(|other| (Arc::clone(service), other)));
-        }
-        others.shuffle(&mut rand::rng());
+        let mut others = self.open_servers();
+        others.retain(|(_, other)| *other != address);
         others.truncate(count);
         others
     }
 
+    /// Returns the servers of all services in random order, none of them in an evacuated zone.
+    pub(crate) fn open_servers(&self) -> Vec<(Arc<HostedService>, SocketAddr)> {
+        let mut servers = Vec::new();
+        for service in self.services.load().values() {
+            let addresses = service.group().open_addresses();
+            servers.extend(addresses.into_iter().map(|address| (Arc::clone(service), address)));
+        }
+        servers.shuffle(&mut rand::rng());
+        servers
+    }
+
+    pub(crate) fn access(&self) -> &ServerAccess {
+        &self.access
+    }
+
     fn slack(&self) -> MutexGuard<'_, (f64, Instant)> {
         self.slack.lock().expect("slack lock is never poisoned")
     }
--- a/tests/hosted_partitioned_vms.rs
+++ b/tests/hosted_partitioned_vms.rs
@@ -108,7 +108,12 @@
     }
 
     fn cut(&self, vm: usize, loss: Loss) {
-        for link in &self.vms[vm].links {
+        self.cut_links(vm, self.vms[vm].links.len(), loss);
+    }
+
+    /// Cuts the first `count` links of a VM.
+    fn cut_links(&self, vm: usize, count: usize, loss: Loss) {
+        for link in &self.vms[vm].links[..count] {
             match loss {
                 Loss::Hang => link.partition(),
                 Loss::Refuse => {
@@ -177,6 +182,22 @@
     check_partitioned_vm(Loss::Refuse).await;
 }
 
+/// Guards against a VM that takes crashed servers for a partition: it has kept connections to the
+/// others, so only new connections to the crashed ones fail, several in a row.
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_that_reaches_one_of_four_servers_forwards_no_request() {
+    for loss in [Loss::Hang, Loss::Refuse] {
+        let mut fleet = Fleet::start(2).await;
+        assert_eq!(fleet.served(0).await, REQUESTS);
+        fleet.cut_links(0, 3, loss);
+        fleet.send_during_contact_time(0).await;
+        let served = fleet.served(0).await;
+        let name = "mustardrail_forwarded_requests_total ";
+        assert_eq!(read_counter(&fleet.vms[0].daemon, name).await, 0, "{loss:?}");
+        assert!(served * 3 >= REQUESTS * 2, "{loss:?}: {served} of {REQUESTS} are served");
+    }
+}
+
 /// Servers that are all gone are no partition: no VM can help, and requests are refused as not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn vms_refuse_requests_when_all_servers_are_gone() {
@@ -262,6 +283,11 @@
 /// Number of requests of the account "anna" that got a credit at a VM.
 async fn granted_count(daemon: &HostedDaemon) -> usize {
     let name = "mustardrail_account_credits_total{account=\"anna\",outcome=\"granted\"} ";
+    read_counter(daemon, name).await
+}
+
+/// Returns the value of the metric with this name and a space at its end.
+async fn read_counter(daemon: &HostedDaemon, name: &str) -> usize {
     let request = CallRequest::get(daemon.metrics, "test", "/metrics");
     let response = call(&request).await.expect("the daemon responds");
     let text = response.text();
