Connect to the relay that starts first while a VM has no configuration

The order stays random, so relays keep equal parts of the VMs where all run. Ruled out: all at once, which moves all VMs of a zone to the nearest relay and leaves the turns of the others unused.

--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -14,6 +15,7 @@
 use observe::info;
 use peers::{
     MessageDelay, PeerError, RelayMessage, RelaySubscription, SubscriberMessage, SubscriberTurns,
+    connect_first,
 };
 use routes::{CONFIG_FORMAT, ServerChange};
 use settings::HostedTiming;
@@ -65,11 +67,12 @@
         let mut pause = self.timing.subscription_retry_pause;
         loop {
             relays.shuffle(&mut rand::rng());
+            let mut opened = self.connect_first(&mut relays).await;
             for (index, relay) in relays.iter().enumerate() {
                 let is_last = index + 1 == relays.len();
                 let stale_allowed_until =
                     is_last.then(|| Instant::now() + jittered(self.timing.last_relay_grace));
-                let end = match self.subscribe(*relay).await {
+                let end = match self.subscribe(*relay, opened.take()).await {
                     Ok(subscription) => {
                         let mut source =
                             ConfigSource { name: relay.to_string().into(), confirmed_at: None };
@@ -99,11 +102,33 @@
         }
     }
 
-    async fn subscribe(&self, relay: SocketAddr) -> Result<RelaySubscription, PeerError> {
-        let held_versions = self.view.held_versions();
+    /// Connects to the first relay that accepts a connection, and moves it to the front of `relays`,
+    /// while this VM has no configuration: callers wait for it, and the other relays may be down.
+    async fn connect_first(&self, relays: &mut [SocketAddr]) -> Option<TcpStream> {
+        if self.view.board.version().is_some() {
+            return None;
+        }
+        let handshake_timeout = self.timing.relay_handshake_timeout;
+        let (first, stream) = connect_first(relays, handshake_timeout).await;
+        let index = relays.iter().position(|relay| *relay == first)?;
+        relays[..=index].rotate_right(1);
+        Some(stream)
+    }
+
+    /// Subscribes to a relay, on `opened` if that is a connection to it.
+    async fn subscribe(
+        &self,
+        relay: SocketAddr,
+        opened: Option<TcpStream>,
+    ) -> Result<RelaySubscription, PeerError> {
+        let held = self.view.held_versions();
         let handshake_timeout = self.timing.relay_handshake_timeout;
-        let subscription =
-            RelaySubscription::open(relay, &held_versions, handshake_timeout).await?;
+        let subscription = match opened {
+            Some(stream) => {
+                RelaySubscription::open_on(stream, relay, &held, handshake_timeout).await?
+            }
+            None => RelaySubscription::open(relay, &held, handshake_timeout).await?,
+        };
         info!(self.view.log, "relay: subscribed"; "relay" => %relay);
         Ok(subscription)
     }
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -18,7 +18,7 @@
 pub use message::{PeerAck, PeerHeartbeat, PeerMessage};
 pub use relay::{
     CreditConnection, HELPER_INTERVAL, HeldVersions, RelayHub, RelayMessage, RelaySubscription,
-    RelayTiming, SubscriberMessage, SubscriberTurns, serve_relay, serve_subscriber,
+    RelayTiming, SubscriberMessage, SubscriberTurns, connect_first, serve_relay, serve_subscriber,
 };
 pub use transfer::PeerStream;
 pub use wire::PeerError;
--- a/components/peers/src/relay/mod.rs
+++ b/components/peers/src/relay/mod.rs
@@ -19,7 +19,7 @@
 pub use hub::{RelayHub, RelayTiming};
 pub use messages::{HeldVersions, RelayMessage, SubscriberMessage, SubscriberTurns};
 pub use server::{HELPER_INTERVAL, serve_relay, serve_subscriber};
-pub use subscription::RelaySubscription;
+pub use subscription::{RelaySubscription, connect_first};
 
 /// Time without a sent byte after which the other end counts as gone. It may have vanished without
 /// closing the connection.
--- a/components/peers/tests/relay.rs
+++ b/components/peers/tests/relay.rs
@@ -461,3 +461,24 @@
     // One at once, and one with each keep-alive message.
     assert!(helpers <= 1 + keep_alives, "{helpers} lists of helpers for {keep_alives} keep-alives");
 }
+
+/// Guards a VM that starts before the relays: it subscribes to whichever runs first, and doesn't
+/// give up while none does.
+#[tokio::test]
+async fn first_relay_that_starts_gets_the_connection() {
+    let mut addresses = Vec::new();
+    for _ in 0..3 {
+        // The port is free again once the listener is dropped.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        addresses.push(listener.local_addr().expect("a bound socket has an address"));
+    }
+    let last = addresses[2];
+    let connecting =
+        tokio::spawn(async move { peers::connect_first(&addresses, MESSAGE_TIMEOUT / 100).await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!connecting.is_finished());
+    let _listener = TcpListener::bind(last).await.expect("the port is still free");
+    let connected = tokio::time::timeout(MESSAGE_TIMEOUT, connecting).await;
+    let (relay, _) = connected.expect("the relay accepts").expect("the task doesn't panic");
+    assert_eq!(relay, last);
+}
