Under heavy load, give free slots only to requests that can be in time

Cause: a request whose target was out of reach got a free slot up to 0.95 of the slots in use. A request with an unknown speed of the server also counted as in time after its target. Change: GroupLoad (light, heavy, saturated); from 0.7 of the slots on, late requests are refused.

--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -16,11 +16,11 @@
 pub use group::ServerGroup;
 pub use placement::{
     AdmissionDecision, AssignedTurns, CONNECT_TIMEOUT, ColdBound, ColdLimits, FirstReturn,
-    HEDGE_RETRY_INTERVAL, LimitResponse, ListedWarmUp, LoadCurve, MAX_PROBE_ROUNDS, NoticeEffect,
-    PROBES_PER_ROUND, PlacementEstimate, PlacementGroup, PlacementOptions, PlacementServer,
-    RequestShape, RequestTimes, SendTurns, ServerIncarnation, ServerLoad, ServerNotice,
-    SpeedPersistence, StartedRequest, WarmUpResponse, ZoneLatencies, admit, hedge_delay,
-    limited_retry_delay, long_retry_delay, queue_poll_interval, short_retry_delay,
+    GroupLoad, HEDGE_RETRY_INTERVAL, LimitResponse, ListedWarmUp, LoadCurve, MAX_PROBE_ROUNDS,
+    NoticeEffect, PROBES_PER_ROUND, PlacementEstimate, PlacementGroup, PlacementOptions,
+    PlacementServer, RequestShape, RequestTimes, SendTurns, ServerIncarnation, ServerLoad,
+    ServerNotice, SpeedPersistence, StartedRequest, WarmUpResponse, ZoneLatencies, admit,
+    hedge_delay, limited_retry_delay, long_retry_delay, queue_poll_interval, short_retry_delay,
 };
 pub use server::{LoadReport, ServerEndpoint};
 pub use subset::{choose_preferred, choose_subset};
--- a/components/balance/src/placement/admission.rs
+++ b/components/balance/src/placement/admission.rs
@@ -74,33 +74,45 @@
     Refuse,
 }
 
+/// How much of a group's capacity is in use, by the reports of its servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GroupLoad {
+    /// There are free slots for all requests, also for late ones.
+    Light,
+    /// Free slots are needed by requests that can still meet their target.
+    Heavy,
+    /// Nearly all slots are in use: several requests compete for each free one.
+    Saturated,
+}
+
 /// Decides on a request from the estimate for its best server.
 ///
 /// A request that would miss its target at the best server is queued while another server could
 /// still meet it: the best ones of this moment may be slow, and faster ones become free. Once the
-/// target is out of reach, it is sent to a free slot if the group isn't saturated, since the
-/// capacity would otherwise be unused. If the group is saturated, a request is sent only to a free
-/// slot and only if it can meet its target: several entry VMs see the same free slot, so their
-/// requests would wait at the server, and a late request takes the slot of one that could be on
-/// time. If the speed of the server isn't known, a free slot counts as in time: most machines are
-/// fast, and a wait brings no better knowledge.
+/// target is out of reach, it is sent to a free slot while the load is light, since the capacity
+/// would otherwise be unused. Under heavy load it is refused: it would take the slot of a request
+/// that can still be on time, and slow down the one beside it. If the group is saturated, a request
+/// is sent only to a free slot: several entry VMs see the same free slot, so their requests would
+/// wait at the server. If the speed of the server isn't known, a free slot counts as in time while
+/// the target is in reach: most machines are fast, and a wait brings no better knowledge.
 pub fn admit(
     estimate: &PlacementEstimate,
     shape: RequestShape,
     times: RequestTimes,
-    is_saturated: bool,
+    load: GroupLoad,
     now: Instant,
 ) -> AdmissionDecision {
     if now + shape.service_time > times.deadline {
         return AdmissionDecision::Refuse;
     }
     let is_free = estimate.wait_seconds <= 0.0;
-    let is_in_time =
-        now + estimate.expected_time() <= times.target_at || (is_free && !estimate.is_informed);
     let is_out_of_reach = now + shape.service_time > times.target_at;
-    let may_send = match is_saturated {
-        true => is_in_time && is_free,
-        false => is_in_time || (is_free && is_out_of_reach),
+    let is_likely_in_time = is_free && !estimate.is_informed && !is_out_of_reach;
+    let is_in_time = is_likely_in_time || now + estimate.expected_time() <= times.target_at;
+    let may_send = match load {
+        GroupLoad::Light => is_in_time || (is_free && is_out_of_reach),
+        GroupLoad::Heavy => is_in_time,
+        GroupLoad::Saturated => is_in_time && is_free,
     };
     if may_send {
         return AdmissionDecision::Send;
--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -8,6 +8,7 @@
 
 use model::{FastMap, RequestRate, ServerId, ZoneName};
 
+use crate::placement::admission::GroupLoad;
 use crate::placement::cold::ColdLimits;
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
 use crate::placement::notices::{FirstReturn, LeavingServers, NoticeEffect, ServerNotice};
@@ -43,6 +44,10 @@
 /// Weight of the newest report in the group's moving averages.
 const NEWEST_REPORT_WEIGHT: f64 = 0.05;
 
+/// Occupancy of the slots above which the load of a group is heavy: the free ones are rarely those of
+/// fast machines, and a further run slows down the one beside it.
+const HEAVY_OCCUPANCY: f64 = 0.7;
+
 /// Occupancy of the slots above which a group counts as saturated: several requests then compete
 /// for each free slot.
 const SATURATED_OCCUPANCY: f64 = 0.95;
@@ -192,9 +197,18 @@
         self.has_reports || self.checks_without_report < MAX_CHECKS_WITHOUT_REPORT
     }
 
+    /// Returns how much of the capacity is in use, according to the reports.
+    pub fn load(&self) -> GroupLoad {
+        match self.occupancy {
+            occupancy if occupancy > SATURATED_OCCUPANCY => GroupLoad::Saturated,
+            occupancy if occupancy > HEAVY_OCCUPANCY => GroupLoad::Heavy,
+            _ => GroupLoad::Light,
+        }
+    }
+
     /// Whether nearly all slots are in use, according to the reports.
     pub fn is_saturated(&self) -> bool {
-        self.occupancy > SATURATED_OCCUPANCY
+        self.load() == GroupLoad::Saturated
     }
 
     /// Counts a health check whose response contained no load report.
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -18,9 +18,9 @@
 mod zone_latency;
 
 pub use admission::{
-    AdmissionDecision, CONNECT_TIMEOUT, HEDGE_RETRY_INTERVAL, MAX_PROBE_ROUNDS, PROBES_PER_ROUND,
-    RequestTimes, admit, hedge_delay, limited_retry_delay, long_retry_delay, queue_poll_interval,
-    short_retry_delay,
+    AdmissionDecision, CONNECT_TIMEOUT, GroupLoad, HEDGE_RETRY_INTERVAL, MAX_PROBE_ROUNDS,
+    PROBES_PER_ROUND, RequestTimes, admit, hedge_delay, limited_retry_delay, long_retry_delay,
+    queue_poll_interval, short_retry_delay,
 };
 pub use cold::{ColdBound, ColdLimits, ListedWarmUp, WarmUpResponse};
 pub use estimate::{PlacementEstimate, RequestShape};
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use balance::{
-    AdmissionDecision, PlacementEstimate, PlacementGroup, PlacementOptions, PlacementServer,
-    RequestShape, RequestTimes, SampleOutcome, ServerLoad, ServerTicket, admit,
+    AdmissionDecision, GroupLoad, PlacementEstimate, PlacementGroup, PlacementOptions,
+    PlacementServer, RequestShape, RequestTimes, SampleOutcome, ServerLoad, ServerTicket, admit,
     queue_poll_interval,
 };
 use rand::SeedableRng;
@@ -227,7 +227,7 @@
 }
 
 /// Decides on a request with this estimate, a target in 600 ms and a deadline in 1.5 s.
-fn decide(wait_seconds: f64, run_seconds: f64, is_saturated: bool) -> AdmissionDecision {
+fn decide(wait_seconds: f64, run_seconds: f64, load: GroupLoad) -> AdmissionDecision {
     let now = Instant::now();
     let times = times_from(now);
     let shape = RequestShape { service_time: Duration::from_millis(220), ..SHAPE };
@@ -240,16 +240,16 @@
         },
         shape,
         times,
-        is_saturated,
+        load,
         now,
     )
 }
 
 #[test]
 fn request_is_sent_if_on_time_and_queued_otherwise() {
-    assert_eq!(decide(0.0, 0.3, false), AdmissionDecision::Send);
-    assert_eq!(decide(0.2, 0.3, false), AdmissionDecision::Send);
-    assert_eq!(decide(0.4, 0.3, false), AdmissionDecision::Queue);
+    assert_eq!(decide(0.0, 0.3, GroupLoad::Light), AdmissionDecision::Send);
+    assert_eq!(decide(0.2, 0.3, GroupLoad::Light), AdmissionDecision::Send);
+    assert_eq!(decide(0.4, 0.3, GroupLoad::Light), AdmissionDecision::Queue);
 }
 
 /// A quarter of the machines are slow at any moment, soon another quarter. A request that waits for
@@ -257,7 +257,7 @@
 /// is out of reach, the free slot is better than a refusal.
 #[test]
 fn request_waits_for_fast_server_while_its_target_is_in_reach() {
-    assert_eq!(decide(0.0, 1.1, false), AdmissionDecision::Queue);
+    assert_eq!(decide(0.0, 1.1, GroupLoad::Light), AdmissionDecision::Queue);
     let now = Instant::now();
     let times = RequestTimes {
         target_at: now + Duration::from_millis(100),
@@ -269,8 +269,8 @@
         cost_seconds: 1.1,
         is_informed: true,
     };
-    assert_eq!(admit(&slow, SHAPE, times, false, now), AdmissionDecision::Send);
-    assert_eq!(admit(&slow, SHAPE, times, true, now), AdmissionDecision::Refuse);
+    assert_eq!(admit(&slow, SHAPE, times, GroupLoad::Light, now), AdmissionDecision::Send);
+    assert_eq!(admit(&slow, SHAPE, times, GroupLoad::Saturated, now), AdmissionDecision::Refuse);
 }
 
 /// Servers that aren't probed, or report no load: their mean speed misses the target, since some of
@@ -285,20 +285,40 @@
         cost_seconds: 0.7,
         is_informed: false,
     };
-    for is_saturated in [false, true] {
-        assert_eq!(admit(&mean, SHAPE, times, is_saturated, now), AdmissionDecision::Send);
+    for load in [GroupLoad::Light, GroupLoad::Heavy, GroupLoad::Saturated] {
+        assert_eq!(admit(&mean, SHAPE, times, load, now), AdmissionDecision::Send);
     }
     let queued = PlacementEstimate { wait_seconds: 0.2, ..mean };
-    assert_eq!(admit(&queued, SHAPE, times, false, now), AdmissionDecision::Queue);
+    assert_eq!(admit(&queued, SHAPE, times, GroupLoad::Light, now), AdmissionDecision::Queue);
+}
+
+/// Under heavy load the free slots are needed by requests that can be in time. A late one would slow
+/// down the run beside it too.
+#[test]
+fn late_request_gets_a_free_slot_only_under_light_load() {
+    let now = Instant::now();
+    let late = RequestTimes { target_at: now, deadline: now + Duration::from_millis(1_500) };
+    for is_informed in [false, true] {
+        let free = PlacementEstimate {
+            wait_seconds: 0.0,
+            run_seconds: 0.2,
+            cost_seconds: 0.2,
+            is_informed,
+        };
+        let decide = |load| admit(&free, SHAPE, late, load, now);
+        assert_eq!(decide(GroupLoad::Light), AdmissionDecision::Send);
+        assert_eq!(decide(GroupLoad::Heavy), AdmissionDecision::Refuse);
+        assert_eq!(decide(GroupLoad::Saturated), AdmissionDecision::Refuse);
+    }
 }
 
 /// Several entry VMs see each free slot of a saturated group. A request sent to wait at a server,
 /// or one that will miss its target, would take the slot of one that could be on time.
 #[test]
 fn saturated_group_requires_free_slot_and_on_time_response() {
-    assert_eq!(decide(0.0, 0.3, true), AdmissionDecision::Send);
-    assert_eq!(decide(0.2, 0.3, true), AdmissionDecision::Queue);
-    assert_eq!(decide(0.0, 1.1, true), AdmissionDecision::Queue);
+    assert_eq!(decide(0.0, 0.3, GroupLoad::Saturated), AdmissionDecision::Send);
+    assert_eq!(decide(0.2, 0.3, GroupLoad::Saturated), AdmissionDecision::Queue);
+    assert_eq!(decide(0.0, 1.1, GroupLoad::Saturated), AdmissionDecision::Queue);
 }
 
 #[test]
@@ -313,7 +333,7 @@
     };
     let at = |millis| now + Duration::from_millis(millis);
     let times = RequestTimes { target_at: at(200), deadline: at(1_500) };
-    assert_eq!(admit(&estimate, shape, times, false, now), AdmissionDecision::Refuse);
+    assert_eq!(admit(&estimate, shape, times, GroupLoad::Light, now), AdmissionDecision::Refuse);
     let free = PlacementEstimate {
         wait_seconds: 0.0,
         run_seconds: 0.2,
@@ -321,7 +341,7 @@
         is_informed: true,
     };
     let times = RequestTimes { target_at: at(600), deadline: at(200) };
-    assert_eq!(admit(&free, shape, times, false, now), AdmissionDecision::Refuse);
+    assert_eq!(admit(&free, shape, times, GroupLoad::Light, now), AdmissionDecision::Refuse);
 }
 
 #[test]
--- a/components/lab/src/selection.rs
+++ b/components/lab/src/selection.rs
@@ -1,7 +1,8 @@
 //! Selects servers in simulated time, in the same steps as the request path of the daemon.
 
-use balance::{PlacementEstimate, RequestShape, ServerTicket};
+use balance::{PROBES_PER_ROUND, PlacementEstimate, RequestShape, ServerTicket};
 use rand::RngExt;
+use rand::seq::SliceRandom;
 
 use crate::policy::ServerSelection;
 use crate::scenario::duration_from_ms;
@@ -127,18 +128,23 @@
     }
 
     /// Places the request at the best of all live servers that it has not tried, by reports of this
-    /// moment.
+    /// moment. The group learns from as many of them as the daemon probes in a round.
     fn select_informed(&mut self, request: RequestIndex) {
         let (vm, now) = (self.requests[request].vm, self.instant());
         let mut considered = CandidateSet::default();
-        for ticket in self.vms[vm].group.tickets() {
+        let mut tickets = self.vms[vm].group.tickets();
+        tickets.shuffle(&mut self.random);
+        for (position, ticket) in tickets.into_iter().enumerate() {
             let is_tried = self.requests[request].tried_servers.contains(&ticket);
             let Some(server) = self.vms[vm].server_index(ticket).filter(|_| !is_tried) else {
                 continue;
             };
             if !self.servers[server].is_dead(self.scenario, self.now) {
                 let load = self.servers[server].load(self.scenario, self.now);
-                self.vms[vm].group.refresh_report(ticket, load, now);
+                match position < PROBES_PER_ROUND {
+                    true => self.vms[vm].group.apply_report(ticket, load, now),
+                    false => self.vms[vm].group.refresh_report(ticket, load, now),
+                }
                 considered.tickets.push(ticket);
             }
         }
--- a/components/lab/src/simulation.rs
+++ b/components/lab/src/simulation.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use balance::{
-    AdmissionDecision, CONNECT_TIMEOUT, HEDGE_RETRY_INTERVAL, RequestTimes, SampleOutcome,
-    ServerTicket, StartedRequest, admit, hedge_delay, long_retry_delay, queue_poll_interval,
-    short_retry_delay,
+    AdmissionDecision, CONNECT_TIMEOUT, GroupLoad, HEDGE_RETRY_INTERVAL, RequestTimes,
+    SampleOutcome, ServerTicket, StartedRequest, admit, hedge_delay, long_retry_delay,
+    queue_poll_interval, short_retry_delay,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -242,15 +242,11 @@
         };
         let decision = match self.policy.has_queue {
             true => {
-                let is_saturated =
-                    self.policy.has_saturation_check && self.vms[request.vm].group.is_saturated();
-                admit(
-                    &placement.estimate,
-                    self.request_shape(),
-                    times,
-                    is_saturated,
-                    self.instant(),
-                )
+                let load = match self.policy.has_saturation_check {
+                    true => self.vms[request.vm].group.load(),
+                    false => GroupLoad::Light,
+                };
+                admit(&placement.estimate, self.request_shape(), times, load, self.instant())
             }
             false => AdmissionDecision::Send,
         };
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -418,8 +418,8 @@
             };
             self.progress.expected_time = server.estimate.expected_time();
             let times = RequestTimes { target_at: self.target_at, deadline: self.deadline };
-            let is_saturated = self.service.group().is_saturated();
-            match admit(&server.estimate, self.shape, times, is_saturated, Instant::now()) {
+            let load = self.service.group().load();
+            match admit(&server.estimate, self.shape, times, load, Instant::now()) {
                 AdmissionDecision::Send => return Ok(server),
                 AdmissionDecision::Refuse => {
                     return Err(HostedRefusal::Saturated(self.saturated_retry_delay()));
