Call the store rarely while relays fail to reach it too

Change: a VM with a state first finds out with one table (the configuration) whether it reaches the store; while its relay says that its own calls fail, it pauses 0.8 of the contact time between calls. A VM that is served although its relays aren't reads as before, at once. Ruled out: no calls at all while relays are refused (a store that refuses some machines would go unread); the server list as the first table (its long poll tells of success too late). TableWatcher takes the view instead of parts of it.

--- a/components/daemon/src/hosted/crash_store.rs
+++ b/components/daemon/src/hosted/crash_store.rs
@@ -112,8 +112,7 @@
     }
 
     fn watcher(&self) -> TableWatcher<'_> {
-        let (metrics, log) = (&self.view.metrics, &self.view.log);
-        TableWatcher::new(&self.call_config, metrics, log, TableName::Crashes, None)
+        TableWatcher::new(&self.call_config, &self.view, TableName::Crashes, None)
     }
 
     /// Applies rows. Returns the keys of those that can be deleted.
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -63,6 +63,8 @@
     pub(crate) log: Logger,
     /// Whether this VM reads the store itself because no relay has a fresh state.
     is_without_relay: AtomicBool,
+    /// Whether the last relay that spoke said that its own calls to the store fail.
+    is_outage_known: AtomicBool,
     pub(super) evacuations: EvacuationState,
     servers: Mutex<ServerListState>,
     /// Notified when the list of servers has changed.
@@ -89,6 +91,7 @@
             metrics,
             log,
             is_without_relay: AtomicBool::new(false),
+            is_outage_known: AtomicBool::new(false),
             evacuations: EvacuationState::new(lapsed_retention),
             servers: Mutex::new(ServerListState { registry, version: None }),
             servers_changed: Notify::new(),
@@ -105,6 +108,16 @@
         !self.is_without_relay.load(Ordering::Relaxed)
     }
 
+    /// Records whether a relay says that its own calls to the store fail.
+    pub(crate) fn set_outage_known(&self, is_outage_known: bool) {
+        self.is_outage_known.store(is_outage_known, Ordering::Relaxed);
+    }
+
+    /// Whether relays say that the store is unreachable for them too.
+    pub(crate) fn is_outage_known(&self) -> bool {
+        self.is_outage_known.load(Ordering::Relaxed)
+    }
+
     /// Versions held, which a relay need not send again.
     pub(crate) fn held_versions(&self) -> HeldVersions {
         let config = self.board.version().map(|version| version.0);
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -37,6 +37,8 @@
     pub(crate) first_retry_pause: Duration,
     /// Upper bound of the backoff after consecutive failed calls.
     pub(crate) max_failure_pause: Duration,
+    /// Pause after a failed call while relays say that their calls fail too.
+    pub(crate) known_outage_pause: Duration,
     /// Held during each call and the pause after it while calls fail, so that only one of the two
     /// tables is requested at a time.
     pub(crate) failing_call_lock: Arc<Mutex<()>>,
@@ -116,9 +118,19 @@
         }
     }
 
-    /// Watches both tables of the store until the future is dropped.
+    /// Watches the tables of the store until the future is dropped.
+    ///
+    /// A VM that holds a state first finds out with one table whether it reaches the store. In an
+    /// outage all VMs read it at the same time, and each table would multiply their calls.
     async fn watch_store(&self) {
-        tokio::join!(self.watch_config(), self.watch_servers(), self.read_crashes());
+        let is_reachable = watch::Sender::new(self.view.servers_version().is_none());
+        let mut reachability = is_reachable.subscribe();
+        let watch_others = async {
+            // Waiting fails only if the sender is dropped, which this future doesn't outlive.
+            let _ = reachability.wait_for(|is_reachable| *is_reachable).await;
+            tokio::join!(self.watch_servers(), self.read_crashes());
+        };
+        tokio::join!(self.watch_config(&is_reachable), watch_others);
     }
 
     async fn read_crashes(&self) {
@@ -128,15 +140,19 @@
         }
     }
 
-    async fn watch_config(&self) {
-        let metrics = &self.view.metrics;
-        let log = &self.view.log;
+    /// Watches the configuration and the evacuations, and sets `is_reachable` at the first
+    /// successful call.
+    async fn watch_config(&self, is_reachable: &watch::Sender<bool>) {
         let mut watcher =
-            TableWatcher::new(&self.call_config, metrics, log, TableName::Operator, None);
+            TableWatcher::new(&self.call_config, &self.view, TableName::Operator, None);
         loop {
             let Some((version, update)) = watcher.next_update().await else {
+                if watcher.is_failing() && !*is_reachable.borrow() {
+                    self.mark_store_unreachable();
+                }
                 continue;
             };
+            is_reachable.send_if_modified(|known| !std::mem::replace(known, true));
             // Before the configuration, which may make this VM ready.
             self.apply_evacuations(version, &update);
             let (TableUpdate::Listed(rows) | TableUpdate::Changed(rows)) = update;
@@ -187,9 +203,8 @@
     async fn watch_servers(&self) {
         let view = &self.view;
         let held_version = view.servers_version();
-        let (metrics, log) = (&view.metrics, &view.log);
         let mut watcher =
-            TableWatcher::new(&self.call_config, metrics, log, TableName::Servers, held_version);
+            TableWatcher::new(&self.call_config, view, TableName::Servers, held_version);
         loop {
             let Some((version, update)) = watcher.next_update().await else {
                 if watcher.is_failing() {
--- a/components/daemon/src/hosted/relay_subscriber.rs
+++ b/components/daemon/src/hosted/relay_subscriber.rs
@@ -92,6 +92,9 @@
                     Err(error) => SubscriptionEnd::Failed(error),
                 };
                 self.view.services.quotas.disconnect();
+                if matches!(end, SubscriptionEnd::Failed(_)) {
+                    self.view.set_outage_known(false);
+                }
                 // Without a relay this VM's share of the slack is unknown.
                 self.view.services.set_slack(0.0, Instant::now());
                 info!(self.view.log, "relay: subscription failed"; "relay" => %relay,
@@ -179,7 +182,10 @@
             exchanges_crash_reports |= matches!(message, RelayMessage::CrashReports(_));
             let now = Instant::now();
             let mut delay = Duration::ZERO;
-            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, .. } = message {
+            if let RelayMessage::KeepAlive { age_ms, era, clock_ms, is_store_unreachable, .. } =
+                message
+            {
+                self.view.set_outage_known(is_store_unreachable);
                 if !grants_credits {
                     grants_credits = true;
                     self.view.services.quotas.connect();
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -207,6 +207,7 @@
             batching_pause: timing.relay_batching_pause,
             first_retry_pause: timing.relay_first_retry_pause,
             max_failure_pause: timing.relay_max_failure_pause,
+            known_outage_pause: timing.known_outage_pause,
             failing_call_lock,
         },
         false => StoreCallConfig {
@@ -215,6 +216,7 @@
             batching_pause: timing.batching_pause,
             first_retry_pause: timing.first_retry_pause,
             max_failure_pause: timing.max_failure_pause,
+            known_outage_pause: timing.known_outage_pause,
             failing_call_lock,
         },
     };
--- a/components/daemon/src/hosted/table_watcher.rs
+++ b/components/daemon/src/hosted/table_watcher.rs
@@ -6,10 +6,11 @@
 use tokio::time::{Instant, sleep};
 
 use model::{StoreVersion, jittered};
-use observe::{HostedMetrics, Logger, info, warn};
+use observe::{info, warn};
 use platform::{FeedResponse, TableName, TableRow, VersionedRows};
 use store::StoreError;
 
+use crate::hosted::platform_view::PlatformView;
 use crate::hosted::platform_watcher::StoreCallConfig;
 
 /// Doublings of the pause between failed calls, which is limited by its maximum too.
@@ -18,8 +19,7 @@
 /// Watches one table.
 pub(crate) struct TableWatcher<'a> {
     call_config: &'a StoreCallConfig,
-    metrics: &'a HostedMetrics,
-    log: &'a Logger,
+    view: &'a PlatformView,
     table: TableName,
     /// Version up to which changes were received; `None` if the table must be listed.
     held_version: Option<StoreVersion>,
@@ -44,23 +44,13 @@
     /// Creates a watcher that continues from `held_version`, or lists the table if it is `None`.
     pub(crate) fn new(
         call_config: &'a StoreCallConfig,
-        metrics: &'a HostedMetrics,
-        log: &'a Logger,
+        view: &'a PlatformView,
         table: TableName,
         held_version: Option<StoreVersion>,
     ) -> Self {
         let newest_version = held_version.unwrap_or_default();
         let response_delay = Duration::ZERO;
-        Self {
-            call_config,
-            metrics,
-            log,
-            table,
-            held_version,
-            newest_version,
-            failures: 0,
-            response_delay,
-        }
+        Self { call_config, view, table, held_version, newest_version, failures: 0, response_delay }
     }
 
     /// Whether the last call failed.
@@ -76,7 +66,7 @@
             true => Some(call_lock.lock().await),
             false => None,
         };
-        self.metrics.store_calls.inc();
+        self.view.metrics.store_calls.inc();
         match self.held_version {
             Some(version) => self.poll_changes(version).await,
             None => self.list_table().await,
@@ -90,7 +80,7 @@
         };
         self.record_success();
         if listed.version < self.newest_version {
-            warn!(self.log, "store: ignored a listing older than the version held";
+            warn!(self.view.log, "store: ignored a listing older than the version held";
                 "table" => %self.table, "version" => %listed.version,
                 "known" => %self.newest_version);
             sleep(jittered(self.call_config.first_retry_pause)).await;
@@ -116,7 +106,7 @@
                 Some((version, TableUpdate::Changed(self.advance_version(changed))))
             }
             Ok(FeedResponse::HistoryExpired) => {
-                info!(self.log, "store: change history is not available; listing the table again";
+                info!(self.view.log, "store: change history is not available; listing the table again";
                     "table" => %self.table, "known" => %after_version);
                 self.held_version = None;
                 None
@@ -142,21 +132,30 @@
 
     fn record_success(&mut self) {
         if self.failures > 0 {
-            info!(self.log, "store: reachable again"; "table" => %self.table,
+            info!(self.view.log, "store: reachable again"; "table" => %self.table,
                 "failures" => self.failures);
         }
         self.failures = 0;
     }
 
     async fn record_failure<T>(&mut self, error: &StoreError) -> Option<T> {
-        self.metrics.store_failures.inc();
+        self.view.metrics.store_failures.inc();
         if self.failures == 0 {
-            warn!(self.log, "store: unreachable"; "table" => %self.table, "reason" => %error);
+            warn!(self.view.log, "store: unreachable"; "table" => %self.table, "reason" => %error);
         }
-        let pause =
-            self.call_config.first_retry_pause * 2u32.pow(self.failures.min(MAX_PAUSE_DOUBLINGS));
+        let pause = jittered(self.pause_after_failure());
         self.failures += 1;
-        sleep(jittered(pause.min(self.call_config.max_failure_pause))).await;
+        sleep(pause).await;
         None
     }
+
+    /// Returns the mean pause after a failed call.
+    fn pause_after_failure(&self) -> Duration {
+        if self.view.is_outage_known() {
+            return self.call_config.known_outage_pause;
+        }
+        let doublings = self.failures.min(MAX_PAUSE_DOUBLINGS);
+        let pause = self.call_config.first_retry_pause * 2u32.pow(doublings);
+        pause.min(self.call_config.max_failure_pause)
+    }
 }
--- a/components/settings/src/timing.rs
+++ b/components/settings/src/timing.rs
@@ -83,6 +83,10 @@
 /// Longest mean pause between failed calls to the store, as a fraction of the contact time.
 const FAILURE_PAUSE_CONTACT_RATIO: f64 = 0.53;
 
+/// Mean pause between calls to the store while relays say that their calls fail too, as a fraction of
+/// the contact time. Relays find out first when the outage is over.
+const KNOWN_OUTAGE_PAUSE_CONTACT_RATIO: f64 = 0.8;
+
 /// Longest mean pause between failed calls to the store at a relay, as a fraction of the contact
 /// time.
 const RELAY_FAILURE_PAUSE_CONTACT_RATIO: f64 = 0.265;
@@ -158,6 +162,9 @@
     pub store_call_timeout: Duration,
     /// Longest mean pause between failed calls to the store.
     pub max_failure_pause: Duration,
+    /// Mean pause between failed calls to the store while relays say that their calls fail too.
+    /// Invariant: shorter than the contact time.
+    pub known_outage_pause: Duration,
     /// The same at a relay.
     pub relay_max_failure_pause: Duration,
     /// How long lapsed entries are kept after the store became reachable again.
@@ -218,6 +225,7 @@
             long_poll_wait: contact.mul_f64(LONG_POLL_CONTACT_RATIO).min(MAX_LONG_POLL_WAIT),
             store_call_timeout: contact.mul_f64(STORE_CALL_CONTACT_RATIO),
             max_failure_pause: contact.mul_f64(FAILURE_PAUSE_CONTACT_RATIO),
+            known_outage_pause: contact.mul_f64(KNOWN_OUTAGE_PAUSE_CONTACT_RATIO),
             relay_max_failure_pause: contact.mul_f64(RELAY_FAILURE_PAUSE_CONTACT_RATIO),
             lapsed_entry_retention: bounds
                 .heartbeat
