Compare few servers of a large group while the load is light

Change: under light load it compares 12 standby servers, chosen by the same hash whatever their zone; random ones as before from heavy load on, or when the known ones are too few (ejected, excluded).

--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -110,6 +110,9 @@
     open: Vec<usize>,
     /// Sorted indexes of this entry VM's preferred servers; empty in a small group, where all are.
     preferred: Vec<usize>,
+    /// Sorted indexes of the servers that are compared beside them under light load; empty in a
+    /// small group.
+    standby: Vec<usize>,
     evacuated_zones: Vec<ZoneName>,
     next_serial: u64,
     model: GroupModel,
@@ -139,6 +142,7 @@
             servers: Vec::new(),
             open: Vec::new(),
             preferred: Vec::new(),
+            standby: Vec::new(),
             evacuated_zones: Vec::new(),
             next_serial: 0,
             model: GroupModel::default(),
@@ -252,36 +256,62 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<ServerTicket> {
-        let mut found = self.candidates_among(count, shape, excluded, now, random, |state| {
-            !state.failures.is_ejected(now)
-        });
+        let is_healthy = |state: &ServerState| !state.failures.is_ejected(now);
+        let mut found = Vec::new();
+        if self.load() == GroupLoad::Light {
+            let known = self.known_indexes();
+            found = self.best_candidates(count, &known, shape, excluded, now, random, is_healthy);
+        }
+        if found.len() < count {
+            let drawn = self.drawn_indexes(random);
+            found = self.best_candidates(count, &drawn, shape, excluded, now, random, is_healthy);
+        }
         if found.is_empty() {
-            found = self.candidates_among(count, shape, excluded, now, random, |_| true);
+            let drawn = self.drawn_indexes(random);
+            found = self.best_candidates(count, &drawn, shape, excluded, now, random, |_| true);
         }
         found
     }
 
-    fn candidates_among(
+    /// Returns the servers that this entry VM usually compares; all of a small group.
+    fn known_indexes(&self) -> Vec<usize> {
+        match self.open.len() <= MAX_CANDIDATES {
+            true => self.open.clone(),
+            false => self.preferred.iter().chain(&self.standby).copied().collect(),
+        }
+    }
+
+    /// Returns the preferred servers and random ones to make up the number of candidates; all
+    /// servers of a small group.
+    fn drawn_indexes(&self, random: &mut impl Rng) -> Vec<usize> {
+        let total = self.open.len();
+        if total <= MAX_CANDIDATES {
+            return self.open.clone();
+        }
+        let mut indexes = self.preferred.clone();
+        let missing = MAX_CANDIDATES - indexes.len();
+        indexes.extend((0..missing).map(|_| self.open[random.random_range(0..total)]));
+        indexes
+    }
+
+    /// Returns up to `count` servers with the lowest estimated cost among those at `indexes` and the
+    /// cold ones that may get a request now.
+    #[allow(clippy::too_many_arguments, reason = "they are those of `candidates` and two more")]
+    fn best_candidates(
         &self,
         count: usize,
+        indexes: &[usize],
         shape: RequestShape,
         excluded: &[ServerTicket],
         now: Instant,
         random: &mut impl Rng,
         is_eligible: impl Fn(&ServerState) -> bool,
     ) -> Vec<ServerTicket> {
-        let total = self.open.len();
-        let compared = total.min(MAX_CANDIDATES);
         let rules = self.send_rules();
         let open_cold = self.open_cold_servers(&rules, now);
-        let mut costs: Vec<(f64, ServerTicket)> = Vec::with_capacity(compared + open_cold.len());
-        for offset in 0..compared + open_cold.len() {
-            let index = match (total <= MAX_CANDIDATES, self.preferred.get(offset)) {
-                _ if offset >= compared => open_cold[offset - compared],
-                (true, _) => self.open[offset],
-                (false, Some(preferred)) => *preferred,
-                (false, None) => self.open[random.random_range(0..total)],
-            };
+        let mut costs: Vec<(f64, ServerTicket)> =
+            Vec::with_capacity(indexes.len() + open_cold.len());
+        for index in indexes.iter().chain(&open_cold).copied() {
             let (serial, state) = &self.servers[index];
             let ticket = ServerTicket { index, serial: *serial };
             let is_skipped = !state.may_accept_request(&rules, now)
--- a/components/balance/src/placement/group/zones.rs
+++ b/components/balance/src/placement/group/zones.rs
@@ -15,6 +15,11 @@
 /// open, and all entry VMs together still use every server.
 const PREFERRED_SERVERS: usize = 12;
 
+/// Number of servers beside the preferred ones that an entry VM compares under light load, whatever
+/// their zone. Others would cost a new connection for nearly each probe: an entry VM of a large
+/// fleet sends a server one request in a minute.
+const STANDBY_SERVERS: usize = 12;
+
 /// Number of servers above which an entry VM has preferred servers.
 const LARGE_GROUP_THRESHOLD: usize = 24;
 
@@ -45,8 +50,8 @@
         states.any(|state| state.is_evacuated && state.listed.key() == incarnation.key())
     }
 
-    /// Finds the servers outside of evacuated zones, and selects this entry VM's preferred servers
-    /// among them by rendezvous hashing, those of its zone first.
+    /// Finds the servers outside of evacuated zones, and selects this entry VM's preferred and standby
+    /// servers among them by rendezvous hashing: preferred ones from its own zone first.
     /// When a server joins or leaves, few of them change.
     pub(super) fn select_preferred(&mut self) {
         self.open.clear();
@@ -67,15 +72,22 @@
             }
         }
         ranks.sort_unstable();
-        self.preferred =
-            ranks.into_iter().take(PREFERRED_SERVERS).map(|(_, _, index)| index).collect();
-        self.preferred.sort_unstable();
+        let mut others = ranks.split_off(ranks.len().min(PREFERRED_SERVERS));
+        others.sort_unstable_by_key(|(_, hash, _)| *hash);
+        self.preferred = sorted_indexes(ranks);
+        self.standby = sorted_indexes(others.into_iter().take(STANDBY_SERVERS));
         for index in &self.preferred {
             self.servers[*index].1.is_preferred = true;
         }
     }
 }
 
+fn sorted_indexes(ranks: impl IntoIterator<Item = (bool, u64, usize)>) -> Vec<usize> {
+    let mut indexes: Vec<usize> = ranks.into_iter().map(|(_, _, index)| index).collect();
+    indexes.sort_unstable();
+    indexes
+}
+
 /// Rendezvous hash of a server for an entry VM; SipHash with a fixed key gives the same value on
 /// every machine.
 fn rendezvous_hash(vm: &str, server: &str) -> u64 {
--- a/components/balance/tests/cold.rs
+++ b/components/balance/tests/cold.rs
@@ -110,7 +110,7 @@
             fleet.receive_message(index);
             fleet.vms[index].next_message_at =
                 now + MESSAGE_INTERVAL.mul_f64(fleet.random.random());
-            for ticket in all_tickets(&fleet.vms[index].group, now) {
+            for ticket in fleet.vms[index].group.tickets() {
                 probe(&mut fleet.vms[index].group, ticket, now);
             }
         }
@@ -238,19 +238,6 @@
     }
 }
 
-fn all_tickets(group: &PlacementGroup, now: Instant) -> Vec<ServerTicket> {
-    let mut random = StdRng::seed_from_u64(1);
-    let mut tickets: Vec<ServerTicket> = Vec::new();
-    // A large group is sampled.
-    loop {
-        let found = group.candidates(32, shape(), &tickets, now, &mut random);
-        if found.is_empty() {
-            return tickets;
-        }
-        tickets.extend(found);
-    }
-}
-
 fn probe(group: &mut PlacementGroup, ticket: ServerTicket, now: Instant) {
     answer_probe(group, ticket, Some(Duration::from_secs(60)), now);
 }
@@ -387,7 +374,7 @@
     let mut random = StdRng::seed_from_u64(3);
     let start = Instant::now();
     let mut group = new_group(150);
-    let tickets = all_tickets(&group, start);
+    let tickets = group.tickets();
     let busy = ServerLoad { running: 2, waiting: 0, slots: 2, slowness: 1.0 };
     for _ in 0..3 {
         for ticket in &tickets {
--- a/components/balance/tests/placement.rs
+++ b/components/balance/tests/placement.rs
@@ -202,6 +202,37 @@
     assert!(preferred_by.values().all(|count| *count <= 30), "{preferred_by:?}");
 }
 
+/// Load pattern: an entry VM of a large fleet sends each server of a large group one request in a
+/// minute. A probe of any server would need a new connection nearly each time.
+#[test]
+fn entry_vm_compares_few_servers_of_a_large_group_until_the_load_is_heavy() {
+    const SERVERS: usize = 150;
+    let now = Instant::now();
+    let servers: Vec<PlacementServer> =
+        (0..SERVERS).map(|number| server(&format!("s-{number}"), "a")).collect();
+    let mut random = StdRng::seed_from_u64(7);
+    let mut group = group();
+    group.set_servers(&servers);
+    let mut compared = |group: &PlacementGroup| {
+        let mut names = std::collections::BTreeSet::new();
+        for _ in 0..200 {
+            let mut excluded = Vec::new();
+            for _ in 0..3 {
+                excluded.extend(group.candidates(3, SHAPE, &excluded, now, &mut random));
+            }
+            names.extend(excluded.into_iter().map(|ticket| name(group, ticket)));
+        }
+        names.len()
+    };
+    let at_light_load = compared(&group);
+    assert!(at_light_load <= 24, "{at_light_load} servers are compared under light load");
+    for _ in 0..100 {
+        group.apply_report(group.tickets()[0], report(2, 0, 1.0), now);
+    }
+    let at_heavy_load = compared(&group);
+    assert!(at_heavy_load > 24, "{at_heavy_load} servers are compared under heavy load");
+}
+
 #[test]
 fn probing_stops_after_checks_without_reports() {
     let now = Instant::now();
