--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -6,14 +6,16 @@
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use model::{FastMap, RequestRate, ServerId, ZoneName};
+use model::{FastMap, ServerId, ZoneName};
 
 use crate::placement::admission::GroupLoad;
 use crate::placement::cold::ColdLimits;
 use crate::placement::estimate::{GroupModel, PlacementEstimate, RequestShape, RunForecast};
-use crate::placement::notices::{FirstReturn, LeavingServers, NoticeEffect, ServerNotice};
+use crate::placement::notices::{LeavingServers, NoticeEffect, ServerNotice};
 use crate::placement::persistence::decayed;
-use crate::placement::server::{PlacementServer, ServerIncarnation, ServerLoad, ServerState};
+use crate::placement::server::{
+    FirstReturn, PlacementServer, ServerIncarnation, ServerLoad, ServerState,
+};
 use crate::placement::turns::SendTurns;
 use crate::placement::zone_latency::ZoneLatencies;
 use crate::types::{SampleOutcome, ServerTicket};
@@ -56,18 +58,6 @@
 /// since a bad server is better than none.
 const MAX_EJECTED_RATIO: f64 = 0.34;
 
-/// What a response says about the server's limit.
-#[derive(Debug, Clone, Copy)]
-pub struct LimitResponse {
-    /// The limit that it names.
-    pub rate: Option<RequestRate>,
-    /// Whether it responds to a probe.
-    pub is_probe: bool,
-    /// When the request or probe was sent. An older one than the one that brought a limit may still
-    /// be answered without it.
-    pub sent_at: Instant,
-}
-
 /// Settings of a placement group.
 #[derive(Debug, Clone)]
 pub struct PlacementOptions {
--- a/components/balance/src/placement/group/limits.rs
+++ b/components/balance/src/placement/group/limits.rs
@@ -5,9 +5,9 @@
 use model::ProbeRate;
 
 use crate::placement::cold::{ColdLimits, WarmUpResponse, Warmth};
-use crate::placement::group::{LimitResponse, PlacementGroup};
+use crate::placement::group::PlacementGroup;
 use crate::placement::server::{SendRules, ServerState};
-use crate::placement::turns::{NamedLimit, SendTurns, check_interval};
+use crate::placement::turns::{LimitResponse, NamedLimit, SendTurns, check_interval};
 use crate::types::ServerTicket;
 
 /// Probes per second with which the fleet checks whether a server still names its limit.
--- a/components/balance/src/placement/mod.rs
+++ b/components/balance/src/placement/mod.rs
@@ -24,10 +24,10 @@
 };
 pub use cold::{ColdBound, ColdLimits, ListedWarmUp, WarmUpResponse};
 pub use estimate::{PlacementEstimate, RequestShape};
-pub use group::{LimitResponse, PlacementGroup, PlacementOptions, StartedRequest};
+pub use group::{PlacementGroup, PlacementOptions, StartedRequest};
 pub use load_curve::LoadCurve;
-pub use notices::{FirstReturn, NoticeEffect, ServerNotice};
+pub use notices::{NoticeEffect, ServerNotice};
 pub use persistence::SpeedPersistence;
-pub use server::{PlacementServer, ServerIncarnation, ServerLoad};
-pub use turns::{AssignedTurns, SendTurns};
+pub use server::{FirstReturn, PlacementServer, ServerIncarnation, ServerLoad};
+pub use turns::{AssignedTurns, LimitResponse, SendTurns};
 pub use zone_latency::ZoneLatencies;
--- a/components/balance/src/placement/notices.rs
+++ b/components/balance/src/placement/notices.rs
@@ -7,8 +7,6 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use model::{FastMap, ServerId};
 
 use crate::placement::server::PlacementServer;
@@ -37,15 +35,6 @@
     pub extends_rest: bool,
 }
 
-/// Time at which the first of several servers accepts a request again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FirstReturn {
-    /// The time.
-    pub at: Instant,
-    /// Whether that server wants no requests until then. Otherwise its limit allows none.
-    pub is_resting: bool,
-}
-
 /// Servers that said that they leave, by the start time of their incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingServers {
--- a/components/balance/src/placement/server.rs
+++ b/components/balance/src/placement/server.rs
@@ -9,7 +9,6 @@
 
 use crate::eject::FailureHistory;
 use crate::placement::cold::{ColdLimits, ListedWarmUp, WarmUpState, Warmth};
-use crate::placement::notices::FirstReturn;
 use crate::placement::turns::{NamedLimit, SendGate, SendTurns};
 
 /// Weight of the newest report in the moving average of a server's slowness.
@@ -28,6 +27,15 @@
     pub slowness: f64,
 }
 
+/// Time at which the first of several servers accepts a request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FirstReturn {
+    /// The time.
+    pub at: Instant,
+    /// Whether that server wants no requests until then. Otherwise its limit allows none.
+    pub is_resting: bool,
+}
+
 /// An entry of the server list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlacementServer {
--- a/components/balance/src/placement/turns.rs
+++ b/components/balance/src/placement/turns.rs
@@ -20,7 +20,17 @@
 
 use model::{ProbeRate, RequestRate, ServerId};
 
-use crate::placement::group::LimitResponse;
+/// What a response says about the server's limit.
+#[derive(Debug, Clone, Copy)]
+pub struct LimitResponse {
+    /// The limit that it names.
+    pub rate: Option<RequestRate>,
+    /// Whether it responds to a probe.
+    pub is_probe: bool,
+    /// When the request or probe was sent. An older one than the one that brought a limit may still
+    /// be answered without it.
+    pub sent_at: Instant,
+}
 
 /// Fraction of a limit that is divided. The rest covers VMs that change their relay.
 const DIVIDED_FRACTION: f64 = 0.9;
--- a/components/daemon/src/hosted/crash_store.rs
+++ b/components/daemon/src/hosted/crash_store.rs
@@ -16,7 +16,7 @@
 use store::StoreError;
 
 use crate::hosted::platform_view::PlatformView;
-use crate::hosted::platform_watcher::StoreCallConfig;
+use crate::hosted::store_calls::StoreCallConfig;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
 
 /// Number of reports about a request from which they are stored. Most requests that share a crash
--- a/components/daemon/src/hosted/evacuations.rs
+++ b/components/daemon/src/hosted/evacuations.rs
@@ -1,9 +1,5 @@
 //! The evacuated availability zones as this entry VM last received them.
 
-use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
-
-use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
 use model::{StoreVersion, ZoneName};
@@ -15,29 +11,6 @@
 /// Source of the end of an evacuation that an older copy of the store lacks, in log lines.
 const RETENTION_SOURCE: &str = "retention";
 
-/// The evacuated zones of the platform view.
-pub(super) struct EvacuationState {
-    zones: Mutex<EvacuatedZones>,
-    /// Notified when a listing or a change has been applied.
-    changed: Notify,
-}
-
-impl EvacuationState {
-    /// Creates a state without zones. `retention` is that of `EvacuatedZones`.
-    pub(super) fn new(retention: Duration) -> Self {
-        Self { zones: Mutex::new(EvacuatedZones::new(retention)), changed: Notify::new() }
-    }
-
-    /// Version of the store that the zones reflect; `None` before the first listing.
-    pub(super) fn version(&self) -> Option<StoreVersion> {
-        self.lock().version()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, EvacuatedZones> {
-        self.zones.lock().expect("evacuation lock is never poisoned")
-    }
-}
-
 impl PlatformView {
     /// Replaces the evacuated zones, unless a newer version is held.
     pub(crate) fn apply_evacuations(
--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -7,12 +7,14 @@
 mod crash_exchange;
 mod crash_store;
 mod entry_log;
+mod evacuation_state;
 mod evacuations;
 mod platform_view;
 mod platform_watcher;
 mod readiness;
 mod relay_subscriber;
 mod run;
+mod store_calls;
 mod table_watcher;
 
 pub use run::run_hosted;
--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -16,7 +16,7 @@
 use quarantine::CrashBoard;
 use routes::{CONFIG_FORMAT, RouteTable, ServerChange, ServerRegistry};
 
-use crate::hosted::evacuations::EvacuationState;
+use crate::hosted::evacuation_state::EvacuationState;
 
 /// Where a configuration came from.
 pub(crate) struct ConfigSource {
--- a/components/daemon/src/hosted/platform_watcher.rs
+++ b/components/daemon/src/hosted/platform_watcher.rs
@@ -5,45 +5,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Mutex, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use model::{StoreVersion, jittered};
 use observe::{debug, warn};
-use platform::{
-    PlatformStore, TableName, TableRow, parse_config_row, parse_evacuation_row, parse_server_row,
-};
+use platform::{TableName, TableRow, parse_config_row, parse_evacuation_row, parse_server_row};
 use routes::{EvacuationChange, ServerChange};
 
 use crate::hosted::crash_store::CrashStore;
 use crate::hosted::entry_log::EntryLog;
 use crate::hosted::platform_view::{ConfigSource, PlatformView};
 use crate::hosted::relay_subscriber::RelaySubscriber;
+use crate::hosted::store_calls::StoreCallConfig;
 use crate::hosted::table_watcher::{TableUpdate, TableWatcher};
 
 /// Source of updates that were read from the store, in log lines.
 const STORE_SOURCE: &str = "store";
 
-/// Client of the store and timing of its calls.
-#[derive(Clone)]
-pub(crate) struct StoreCallConfig {
-    pub(crate) store: Arc<PlatformStore>,
-    /// Long-poll time of one call, including the delay of the response.
-    pub(crate) long_poll_wait: Duration,
-    /// Pause after changes, so that changes in quick succession need only one call.
-    pub(crate) batching_pause: Duration,
-    /// Pause after an outdated listing and after the first failed call. Doubled after each further
-    /// failed call.
-    pub(crate) first_retry_pause: Duration,
-    /// Upper bound of the backoff after consecutive failed calls.
-    pub(crate) max_failure_pause: Duration,
-    /// Pause after a failed call while relays say that their calls fail too.
-    pub(crate) known_outage_pause: Duration,
-    /// Held during each call and the pause after it while calls fail, so that only one of the two
-    /// tables is requested at a time.
-    pub(crate) failing_call_lock: Arc<Mutex<()>>,
-}
-
 /// When a VM that has relays reads the store itself.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadAges {
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -23,9 +23,10 @@
 
 use crate::hosted::crash_exchange::CrashExchange;
 use crate::hosted::platform_view::PlatformView;
-use crate::hosted::platform_watcher::{PlatformWatcher, ReadAges, StoreCallConfig};
+use crate::hosted::platform_watcher::{PlatformWatcher, ReadAges};
 use crate::hosted::readiness::{ReadinessContext, serve_readiness};
 use crate::hosted::relay_subscriber::{RelaySubscriber, assigned_turns};
+use crate::hosted::store_calls::StoreCallConfig;
 use crate::run::{DaemonError, listen, start_error};
 use crate::shutdown::StopSignals;
 
--- a/components/daemon/src/hosted/table_watcher.rs
+++ b/components/daemon/src/hosted/table_watcher.rs
@@ -11,7 +11,7 @@
 use store::StoreError;
 
 use crate::hosted::platform_view::PlatformView;
-use crate::hosted::platform_watcher::StoreCallConfig;
+use crate::hosted::store_calls::StoreCallConfig;
 
 /// Doublings of the pause between failed calls, which is limited by its maximum too.
 const MAX_PAUSE_DOUBLINGS: u32 = 8;
--- a/components/lab/src/selection.rs
+++ b/components/lab/src/selection.rs
@@ -1,26 +1,18 @@
 //! Selects servers in simulated time, in the same steps as the request path of the daemon.
 
-use balance::{PROBES_PER_ROUND, PlacementEstimate, RequestShape, ServerTicket};
+use balance::{PROBES_PER_ROUND, PlacementEstimate, RequestShape};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
 use crate::policy::ServerSelection;
 use crate::scenario::duration_from_ms;
 use crate::simulation::{LabSimulation, RequestIndex, SimulationEvent};
-use crate::vm::ModelPlacement;
+use crate::vm::{CandidateSet, ModelPlacement};
 
 /// Bytes of a request and its response. Their transfer costs nothing, since all servers are in one
 /// zone.
 const TRANSFER_BYTES: u64 = 0;
 
-/// Servers that one selection considers.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct CandidateSet {
-    pub(crate) tickets: Vec<ServerTicket>,
-    /// Number of rounds so far.
-    pub(crate) rounds: usize,
-}
-
 impl LabSimulation<'_> {
     /// Selects a server for a request. If servers are probed, the selection continues in
     /// `apply_reports` when they have responded.
--- a/components/lab/src/simulation.rs
+++ b/components/lab/src/simulation.rs
@@ -17,9 +17,8 @@
 use crate::outcome::LabOutcome;
 use crate::policy::{LabPolicy, ServerSelection};
 use crate::scenario::{LabScenario, duration_from_ms};
-use crate::selection::CandidateSet;
 use crate::server::{ArrivalOutcome, AttemptIndex, ModelServer};
-use crate::vm::{ModelPlacement, ModelVm};
+use crate::vm::{CandidateSet, ModelPlacement, ModelVm};
 
 /// Maximum number of attempts for one request.
 const MAX_ATTEMPTS: usize = 2;
--- a/components/lab/src/vm.rs
+++ b/components/lab/src/vm.rs
@@ -27,6 +27,14 @@
     pub(crate) estimate: PlacementEstimate,
 }
 
+/// Servers that one selection considers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CandidateSet {
+    pub(crate) tickets: Vec<ServerTicket>,
+    /// Number of rounds so far.
+    pub(crate) rounds: usize,
+}
+
 /// A simulated entry VM.
 pub(crate) struct ModelVm {
     pub(crate) group: PlacementGroup,
--- a/components/proxy/src/hosted/identity.rs
+++ b/components/proxy/src/hosted/identity.rs
@@ -7,10 +7,7 @@
 
 use routes::{ClientAccount, ClientAccounts, HostedRoute, KeyHash, RouteTable};
 
-use crate::hosted::refusal::HostedRefusal;
-
-/// Authentication scheme of keys (RFC 9110, 11.1).
-pub(crate) const KEY_SCHEME: &str = "Token";
+use crate::hosted::refusal::{HostedRefusal, KEY_SCHEME};
 
 const MISSING_KEY: HostedRefusal =
     HostedRefusal::Unauthorized("the request has none, or more than one Authorization field");
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -9,7 +9,9 @@
 use hyper::{Response, StatusCode};
 
 use crate::body::CallerResponseBody;
-use crate::hosted::identity::KEY_SCHEME;
+
+/// Authentication scheme of keys (RFC 9110, 11.1).
+pub(crate) const KEY_SCHEME: &str = "Token";
 
 /// Reason why a request got no response from a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Display)]
--- a/components/settings/src/hosted.rs
+++ b/components/settings/src/hosted.rs
@@ -12,7 +12,7 @@
 
 use crate::load::{LogLevel, read_settings};
 use crate::report::SettingsError;
-use crate::timing::{HostedTiming, TimingError};
+use crate::timing::{HostedBounds, HostedTiming, TimingError};
 
 /// Settings of a hosted entry VM.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -139,25 +139,6 @@
     }
 }
 
-/// Bounds of the platform's promises that times of an entry VM depend on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HostedBounds {
-    /// Time after an outage within which a VM must have the current state of the store again.
-    pub contact: Duration,
-    /// Time until an accepted configuration or evacuation must be in force.
-    pub config_apply: Duration,
-    /// Time until a leaving backend server must get no more requests.
-    pub drain: Duration,
-    /// Interval at which backend servers renew their entries in the list.
-    pub heartbeat: Duration,
-    /// Time after a restart of all entry VMs within which they must serve again.
-    pub recovery: Duration,
-    /// Time from SIGTERM until the platform kills the process.
-    pub grace: Duration,
-    /// Window of the retry budget.
-    pub retry_window: Duration,
-}
-
 impl HostedSettings {
     /// Returns the time from SIGTERM until the platform kills the process.
     pub fn shutdown_grace(&self) -> Duration {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -5,11 +5,9 @@
 mod report;
 mod timing;
 
-pub use hosted::{
-    ColdServerSettings, HostedBounds, HostedSettings, RetrySettings, load_hosted_settings,
-};
+pub use hosted::{ColdServerSettings, HostedSettings, RetrySettings, load_hosted_settings};
 pub use load::{
     CallerSettings, DaemonSettings, LogFormat, LogLevel, PlatformSettings, load_settings,
 };
 pub use report::SettingsError;
-pub use timing::{HostedTiming, TimingError};
+pub use timing::{HostedBounds, HostedTiming, TimingError};
--- a/components/settings/src/timing.rs
+++ b/components/settings/src/timing.rs
@@ -18,8 +18,6 @@
 
 use derive_more::{Display, Error};
 
-use crate::hosted::HostedBounds;
-
 /// Long-poll wait of a relay, as a fraction of the propagation time.
 const RELAY_POLL_PROPAGATION_RATIO: f64 = 0.42;
 
@@ -121,6 +119,25 @@
 /// Longest long-poll wait that the store accepts.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(30);
 
+/// Bounds of the platform's promises that times of an entry VM depend on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostedBounds {
+    /// Time after an outage within which a VM must have the current state of the store again.
+    pub contact: Duration,
+    /// Time until an accepted configuration or evacuation must be in force.
+    pub config_apply: Duration,
+    /// Time until a leaving backend server must get no more requests.
+    pub drain: Duration,
+    /// Interval at which backend servers renew their entries in the list.
+    pub heartbeat: Duration,
+    /// Time after a restart of all entry VMs within which they must serve again.
+    pub recovery: Duration,
+    /// Time from SIGTERM until the platform kills the process.
+    pub grace: Duration,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+}
+
 /// Times of a hosted entry VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostedTiming {
