--- a/components/balance/src/placement/group.rs
+++ b/components/balance/src/placement/group.rs
@@ -32,7 +32,7 @@
 
 /// Occupancy of the slots above which the load of a group is heavy: the free ones are rarely those of
 /// fast machines, and a further run slows down the one beside it.
-const HEAVY_OCCUPANCY: f64 = 0.7;
+const HEAVY_OCCUPANCY: f64 = 0.85;
 
 /// Occupancy of the slots above which a group counts as saturated: several requests then compete
 /// for each free slot.
