--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until};
 
 use board::HostedBoard;
@@ -64,7 +64,7 @@
     /// Whether this VM reads the store itself because no relay has a fresh state.
     is_without_relay: AtomicBool,
     /// Whether the last relay that spoke said that its own calls to the store fail.
-    is_outage_known: AtomicBool,
+    outage_known: watch::Sender<bool>,
     pub(super) evacuations: EvacuationState,
     servers: Mutex<ServerListState>,
     /// Notified when the list of servers has changed.
@@ -91,7 +91,7 @@
             metrics,
             log,
             is_without_relay: AtomicBool::new(false),
-            is_outage_known: AtomicBool::new(false),
+            outage_known: watch::Sender::new(false),
             evacuations: EvacuationState::new(lapsed_retention),
             servers: Mutex::new(ServerListState { registry, version: None }),
             servers_changed: Notify::new(),
@@ -110,12 +110,13 @@
 
     /// Records whether a relay says that its own calls to the store fail.
     pub(crate) fn set_outage_known(&self, is_outage_known: bool) {
-        self.is_outage_known.store(is_outage_known, Ordering::Relaxed);
+        self.outage_known
+            .send_if_modified(|known| std::mem::replace(known, is_outage_known) != is_outage_known);
     }
 
-    /// Whether relays say that the store is unreachable for them too.
-    pub(crate) fn is_outage_known(&self) -> bool {
-        self.is_outage_known.load(Ordering::Relaxed)
+    /// Returns a receiver of whether relays say that the store is unreachable for them too.
+    pub(crate) fn watch_known_outage(&self) -> watch::Receiver<bool> {
+        self.outage_known.subscribe()
     }
 
     /// Versions held, which a relay need not send again.
--- a/components/daemon/src/hosted/store_calls.rs
+++ b/components/daemon/src/hosted/store_calls.rs
@@ -20,7 +20,7 @@
     pub(crate) first_retry_pause: Duration,
     /// Upper bound of the backoff after consecutive failed calls.
     pub(crate) max_failure_pause: Duration,
-    /// Pause after a failed call while relays say that their calls fail too.
+    /// Longest wait before the pause after a failed call while relays say that their calls fail too.
     pub(crate) known_outage_pause: Duration,
     /// Held during each call and the pause after it while calls fail, so that only one of the two
     /// tables is requested at a time.
--- a/components/daemon/src/hosted/table_watcher.rs
+++ b/components/daemon/src/hosted/table_watcher.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use model::{StoreVersion, jittered};
 use observe::{info, warn};
@@ -143,19 +143,26 @@
         if self.failures == 0 {
             warn!(self.view.log, "store: unreachable"; "table" => %self.table, "reason" => %error);
         }
-        let pause = jittered(self.pause_after_failure());
+        let doublings = match self.pause_during_known_outage().await {
+            true => 0,
+            false => self.failures.min(MAX_PAUSE_DOUBLINGS),
+        };
         self.failures += 1;
-        sleep(pause).await;
+        let pause = self.call_config.first_retry_pause * 2u32.pow(doublings);
+        sleep(jittered(pause.min(self.call_config.max_failure_pause))).await;
         None
     }
 
-    /// Returns the mean pause after a failed call.
-    fn pause_after_failure(&self) -> Duration {
-        if self.view.is_outage_known() {
-            return self.call_config.known_outage_pause;
+    /// Waits while relays say that their calls fail too, but no longer than the pause for that case:
+    /// a relay that fails, or reaches the store again, ends the wait. Returns whether they said so.
+    async fn pause_during_known_outage(&self) -> bool {
+        let mut known_outage = self.view.watch_known_outage();
+        if !*known_outage.borrow() {
+            return false;
         }
-        let doublings = self.failures.min(MAX_PAUSE_DOUBLINGS);
-        let pause = self.call_config.first_retry_pause * 2u32.pow(doublings);
-        pause.min(self.call_config.max_failure_pause)
+        let pause = jittered(self.call_config.known_outage_pause);
+        // Ends without a result if the pause is over first.
+        let _ = timeout(pause, known_outage.wait_for(|is_known| !is_known)).await;
+        true
     }
 }
--- a/components/settings/src/timing.rs
+++ b/components/settings/src/timing.rs
@@ -82,8 +82,8 @@
 const FAILURE_PAUSE_CONTACT_RATIO: f64 = 0.53;
 
 /// Mean pause between calls to the store while relays say that their calls fail too, as a fraction of
-/// the contact time. Relays find out first when the outage is over.
-const KNOWN_OUTAGE_PAUSE_CONTACT_RATIO: f64 = 0.8;
+/// the contact time. The pause after a first failed call follows it. Relays find out first when the outage is over.
+const KNOWN_OUTAGE_PAUSE_CONTACT_RATIO: f64 = 0.5;
 
 /// Longest mean pause between failed calls to the store at a relay, as a fraction of the contact
 /// time.
@@ -179,8 +179,9 @@
     pub store_call_timeout: Duration,
     /// Longest mean pause between failed calls to the store.
     pub max_failure_pause: Duration,
-    /// Mean pause between failed calls to the store while relays say that their calls fail too.
-    /// Invariant: shorter than the contact time.
+    /// Mean pause before that of `first_retry_pause` after a failed call while relays say that their
+    /// calls fail too. Invariant: both together, with their jitter, are shorter than the contact
+    /// time.
     pub known_outage_pause: Duration,
     /// The same at a relay.
     pub relay_max_failure_pause: Duration,
--- a/components/settings/tests/timing.rs
+++ b/components/settings/tests/timing.rs
@@ -104,6 +104,9 @@
         // A VM whose calls failed throughout the outage.
         let longest_pause = timing.max_failure_pause.mul_f64(MAX_JITTER);
         assert!(longest_pause + read < bounds.contact, "{bounds:?}, {timing:?}");
+        let longest_in_known_outage =
+            (timing.known_outage_pause + timing.first_retry_pause).mul_f64(MAX_JITTER);
+        assert!(longest_in_known_outage + read < bounds.contact, "{bounds:?}, {timing:?}");
         let longest_at_relay = timing.relay_max_failure_pause.mul_f64(MAX_JITTER);
         let at_relay = timing.store_call_timeout + longest_at_relay + read;
         assert!(at_relay < bounds.contact, "{bounds:?}, {timing:?}");
