--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -34,8 +34,9 @@
 use crate::request_body::{BodyLimits, RequestBody};
 
 /// Longest time that a request waits for the first configuration and server list, which arrive soon
-/// after the start. Its route, and so its latency target, is not known before.
-const STARTUP_CONFIG_TIMEOUT: Duration = Duration::from_millis(100);
+/// after the start. Its route, and so its latency target, is not known before. A caller that is
+/// refused comes back after `DEFAULT_RETRY_DELAY`, so a shorter wait brings it no earlier response.
+const STARTUP_CONFIG_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Options of a handler, from the settings.
 #[derive(Debug, Clone, Copy)]
--- a/tests/hosted_outages.rs
+++ b/tests/hosted_outages.rs
@@ -9,7 +9,7 @@
     FakePlatform, HostedBehaviour, HostedDaemon, HostedServer, StoreBehaviour, call, eventually,
     free_address, hosted_config, hosted_request, hosted_route, read_metric, standard_routes,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
 
@@ -54,3 +54,27 @@
     })
     .await;
 }
+
+/// Load pattern: callers arrive while all VMs start. One that is refused comes back after its retry
+/// delay, and would have been served in that time by a VM that receives its configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_at_a_vm_without_configuration_waits_as_long_as_its_retry_delay() {
+    let platform = FakePlatform::start().await;
+    platform.set_behaviour(StoreBehaviour::Hang);
+    let relay = free_address();
+    let (program, store) = (Path::new(DAEMON_PATH), platform.address());
+    let vm = HostedDaemon::start_with_relays(program, store, relay, &[relay]);
+    let request = hosted_request(vm.callers, "early", Method::GET, "/read/1", 2_000);
+    let (response, waited) = loop {
+        let sent_at = Instant::now();
+        match call(&request).await {
+            Ok(response) => break (response, sent_at.elapsed()),
+            // The process is still being started.
+            Err(_) => sleep(Duration::from_millis(5)).await,
+        }
+    };
+    assert_eq!(response.status, 503);
+    let retry_delay = response.header("retry-after").parse::<f64>();
+    let retry_delay = retry_delay.expect("a refusal has a retry delay in seconds");
+    assert!(waited.as_secs_f64() >= retry_delay, "refused after {waited:?}");
+}
