--- a/review/standins/src/late_copy.rs
+++ b/review/standins/src/late_copy.rs
@@ -46,6 +46,7 @@
                 slots: 4,
                 queue: 0,
                 work: Duration::from_millis(20),
+                spread: 0.5,
                 round_trip: Duration::from_millis(1),
                 keep_alive_s: 3,
                 on_full: OnFull::Shed,
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod json;
+mod late_accept;
 mod late_copy;
 mod random;
 mod record;
@@ -48,6 +49,7 @@
     };
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(&input),
+        "late-accept" => late_accept::run(&input),
         "shutdown" => shutdown::run(&input),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/standins/src/shutdown.rs
+++ b/review/standins/src/shutdown.rs
@@ -44,6 +44,7 @@
                 slots: 4,
                 queue: 1,
                 work: Duration::from_millis(370),
+                spread: 0.5,
                 round_trip: Duration::from_millis(1),
                 keep_alive_s: 10,
                 on_full: OnFull::Hang,
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -30,8 +30,10 @@
     pub slots: usize,
     /// Requests that it queues beside those that run.
     pub queue: usize,
-    /// Mean time of a run; runs take between half and one and a half of it.
+    /// Mean time of a run.
     pub work: Duration,
+    /// Largest deviation from it, as a fraction.
+    pub spread: f64,
     /// Time on the way from an entry VM to the worker and back.
     pub round_trip: Duration,
     /// Lifetime of an idle connection that the worker states, in seconds.
@@ -189,7 +191,7 @@
 
     /// Works on a request; returns `false` if its connection was closed meanwhile.
     fn run(&self, connection: &mut Connection) -> bool {
-        let until = Instant::now() + self.options.work.mul_f64(0.5 + self.random.next());
+        let until = Instant::now() + self.options.work.mul_f64(self.work_factor());
         while Instant::now() < until {
             std::thread::sleep(CLOSE_CHECK.min(until.saturating_duration_since(Instant::now())));
             if connection.is_closed() {
@@ -199,6 +201,10 @@
         true
     }
 
+    fn work_factor(&self) -> f64 {
+        1.0 + self.options.spread * (2.0 * self.random.next() - 1.0)
+    }
+
     fn load(&self) -> String {
         let slots = self.slots.lock().unwrap();
         format!("{},{},{},100", slots.running, slots.waiting, self.options.slots)
