--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../run_case.sh" shutdown "$folder"
+exec "$folder/../run_case.sh" pipelined "$folder"
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -42,19 +42,28 @@
     connection: &mut Connection,
 ) -> Option<Message> {
     let Attempt { method, path, deadline, .. } = attempt;
-    let body = if *method == "GET" { String::new() } else { format!("order {id}") };
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Mustardrail-Request-Id: {id}\r\n\
-         X-Mustardrail-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        deadline.as_millis(),
-        body.len()
-    );
+    let request = request_bytes(method, path, id, *deadline);
     let _ = connection.stream.set_read_timeout(Some(*deadline + Duration::from_millis(200)));
     record.sent(id, attempt.vm_name);
-    let answer = match connection.write(request.as_bytes()) {
+    let answer = match connection.write(&request) {
         Ok(()) => connection.read().ok(),
         Err(_) => None,
     };
     record.answered(id, answer.as_ref().map_or(0, Message::status));
     answer
 }
+
+/// Encodes a request.
+pub fn request_bytes(method: &str, path: &str, id: &str, deadline: Duration) -> Vec<u8> {
+    let body = if method == "GET" { String::new() } else { format!("order {id}") };
+    let length = match method {
+        "GET" => String::new(),
+        _ => format!("Content-Length: {}\r\n", body.len()),
+    };
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Mustardrail-Request-Id: {id}\r\n\
+         X-Mustardrail-Deadline-Ms: {}\r\n{length}\r\n{body}",
+        deadline.as_millis()
+    );
+    request.into_bytes()
+}
--- a/review/standins/src/late_accept.rs
+++ b/review/standins/src/late_accept.rs
@@ -49,6 +49,7 @@
             keep_alive_s: 10,
             on_full: OnFull::Shed,
             tells_load: true,
+            answer_bytes: 0,
             late_copies: 0.0,
         };
         Worker::start(options, &input.record)
--- a/review/standins/src/late_copy.rs
+++ b/review/standins/src/late_copy.rs
@@ -12,14 +12,16 @@
 use crate::{CaseInput, Verdict};
 
 /// Services, each with one worker.
-const SERVICES: [&str; 10] =
-    ["kaha", "ukit", "patunay", "talaan", "orden", "deposito", "larawan", "resibo", "bayad", "libro"];
+const SERVICES: [&str; 16] = [
+    "kaha", "ukit", "patunay", "talaan", "orden", "deposito", "larawan", "resibo", "bayad",
+    "libro", "bato", "lapida", "lagda", "sulat", "tala", "ulat",
+];
 
 /// Share of the workers that send late copies, and share of their answers that they send twice.
 const FAULTY_WORKERS: f64 = 0.5;
 const LATE_COPIES: f64 = 0.03;
 
-const LENGTH: Duration = Duration::from_secs(75);
+const LENGTH: Duration = Duration::from_secs(80);
 
 /// Requests that arrive for a service at an entry VM at nearly the same time.
 const BURST: usize = 10;
@@ -51,6 +53,7 @@
                 keep_alive_s: 3,
                 on_full: OnFull::Shed,
                 tells_load: false,
+                answer_bytes: 0,
                 late_copies: if is_faulty { LATE_COPIES } else { 0.0 },
             };
             Worker::start(options, &input.record)
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod late_accept;
 mod late_copy;
+mod pipelined;
 mod random;
 mod record;
 mod shutdown;
@@ -50,6 +51,7 @@
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(&input),
         "late-accept" => late_accept::run(&input),
+        "pipelined" => pipelined::run(&input),
         "shutdown" => shutdown::run(&input),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -84,7 +84,8 @@
         match (request.method(), path) {
             ("GET", "/rows-get") => {
                 let limit = field("limit").parse().unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
-                let page = self.page(field("table"), field("part"), field("from"), field("to"), limit);
+                let page =
+                    self.page(field("table"), field("part"), field("from"), field("to"), limit);
                 response("200 OK", &json, page.as_bytes())
             }
             ("GET", "/rows-feed") => {
@@ -167,7 +168,9 @@
     fn rows_message(&self, rows: &[String], has_more: bool, version: u64) -> String {
         let now = self.started.elapsed().as_secs_f64();
         let rows = rows.join(",");
-        format!("{{\"rows\":[{rows}],\"has_more\":{has_more},\"ver\":{version},\"now_s\":{now:.3}}}")
+        format!(
+            "{{\"rows\":[{rows}],\"has_more\":{has_more},\"ver\":{version},\"now_s\":{now:.3}}}"
+        )
     }
 }
 
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -40,6 +40,8 @@
     pub keep_alive_s: u32,
     pub on_full: OnFull,
     pub tells_load: bool,
+    /// Length of the body of its answers, at least.
+    pub answer_bytes: usize,
     /// Share of its answers of which a second copy arrives late, at the point where the next
     /// response on the connection is expected.
     pub late_copies: f64,
@@ -135,8 +137,7 @@
         let own_id = self.options.id.as_str();
         let load = self.load();
         let keep_alive = format!("timeout={}", self.options.keep_alive_s);
-        let mut headers =
-            vec![("X-Mustardrail-Instance-Id", own_id), ("Keep-Alive", &*keep_alive)];
+        let mut headers = vec![("X-Mustardrail-Instance-Id", own_id), ("Keep-Alive", &*keep_alive)];
         if self.options.tells_load {
             headers.push(("X-Mustardrail-Server-Load", &load));
         }
@@ -148,7 +149,10 @@
             return Some(response("400 Bad Request", &headers, b""));
         };
         headers.push(("X-Mustardrail-Request-Id", id));
-        if request.header("x-mustardrail-expect-instance").is_some_and(|expected| expected != own_id) {
+        if request
+            .header("x-mustardrail-expect-instance")
+            .is_some_and(|expected| expected != own_id)
+        {
             return Some(response("421 Misdirected Request", &headers, b""));
         }
         self.record.arrived(id, own_id);
@@ -168,7 +172,9 @@
         headers.push(("X-Mustardrail-Server-Stamp", &stamp));
         let text = if is_done { "done" } else { "cancelled" };
         self.record.note(&format!("{own_id} ends the run of {id}: {text}"));
-        let body = format!("{text} {id} at {own_id}\n");
+        let mut body = format!("{text} {id} at {own_id}\n");
+        let missing = self.options.answer_bytes.saturating_sub(body.len());
+        body.extend(std::iter::repeat_n('.', missing));
         Some(response("200 OK", &headers, body.as_bytes()))
     }
 
