--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -121,6 +121,7 @@
              \"relay\": \"{relay}\",\n  \"relays\": [{seeds}],\n  \"grace_s\": {GRACE_S},\n  \
              \"contact_s\": 3,\n  \"config_apply_s\": 2,\n  \"drain_s\": 2,\n  \"recovery_s\": 15,\n  \
              \"heartbeat_s\": 1.5,\n  \"first_start\": FIRST_START,\n  \
+             \"cold_servers\": {{ \"over\": 1.5, \"slack\": 8 }},\n  \
              \"retries\": {{ \"ratio\": 0.2, \"slack\": 58, \"window_s\": 10 }}\n}}\n",
             store.address
         );
@@ -196,15 +197,28 @@
 
 pub const HOST: &str = "hulo84.example";
 
+/// Time for which a worker is cold, in seconds, and requests per second that it tolerates then.
+pub const WARM_UP_S: f64 = 3.0;
+pub const WARM_UP_PER_S: f64 = 4.5;
+
 /// Writes the first configuration.
 pub fn write_config(store: &Store, routes: &[Route]) {
+    write_config_with(store, routes, false);
+}
+
+/// Writes the first configuration, of services whose workers can be cold or can't.
+pub fn write_config_with(store: &Store, routes: &[Route], has_cold_workers: bool) {
+    let warm_up = match has_cold_workers {
+        true => format!(",\"warmup_s\":{WARM_UP_S:.1},\"warmup_per_s\":{WARM_UP_PER_S:.1}"),
+        false => String::new(),
+    };
     let mut services: Vec<&str> = routes.iter().map(|route| route.service.as_str()).collect();
     services.sort_unstable();
     services.dedup();
     let services: Vec<String> = services
         .iter()
         .map(|name| {
-            format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":220}}")
+            format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":220{warm_up}}}")
         })
         .collect();
     let paths: Vec<String> = routes
@@ -242,7 +256,8 @@
         if stop.load(Ordering::Relaxed) {
             return;
         }
-        workers.iter().for_each(|worker| worker.register(&store, "ready"));
+        let running = workers.iter().filter(|worker| !worker.has_crashed());
+        running.for_each(|worker| worker.register(&store, "ready"));
     });
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod client;
+mod cold;
 mod fleet;
 mod http;
 mod json;
@@ -50,6 +51,7 @@
     };
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(&input),
+        "cold" => cold::run(&input),
         "late-accept" => late_accept::run(&input),
         "pipelined" => pipelined::run(&input),
         "shutdown" => shutdown::run(&input),
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a worker.
 
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -61,11 +62,24 @@
     random: Random,
     pub copies: AtomicU64,
     sequence: AtomicU64,
+    /// Time until which it is cold.
+    cold_until: Mutex<Option<Instant>>,
+    /// Requests per second at which it crashes while it is cold.
+    crash_rate: f64,
+    /// When the last requests arrived.
+    arrivals: Mutex<VecDeque<Instant>>,
+    crashed: AtomicBool,
     record: Arc<Record>,
 }
 
 impl Worker {
     pub fn start(options: WorkerOptions, record: &Arc<Record>) -> Arc<Self> {
+        Self::start_with(options, f64::INFINITY, record)
+    }
+
+    /// Starts a worker that crashes for good at more than `crash_rate` requests in a second while it is
+    /// cold.
+    pub fn start_with(options: WorkerOptions, crash_rate: f64, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let worker = Arc::new(Self {
             options,
@@ -75,12 +89,19 @@
             random: Random::new(),
             copies: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
+            cold_until: Mutex::default(),
+            crash_rate,
+            arrivals: Mutex::default(),
+            crashed: AtomicBool::new(false),
             record: Arc::clone(record),
         });
         let served = Arc::clone(&worker);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let worker = Arc::clone(&served);
+                if worker.has_crashed() {
+                    return;
+                }
                 std::thread::spawn(move || worker.serve(Connection::new(stream)));
             }
         });
@@ -94,12 +115,51 @@
         let entry = format!(
             "{{\"address\":\"{}\",\"info\":{{\"service\":\"{service}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{slots}}},\"status\":{{\"state\":\"{state}\",\
-             \"sequence\":{sequence},\"warmup_left_s\":0.0}}}}",
-            self.address
+             \"sequence\":{sequence},\"warmup_left_s\":{:.3}}}}}",
+            self.address,
+            self.warm_up_left().as_secs_f64()
         );
         store.put("servers", id, &entry);
     }
 
+    /// Becomes cold without a restart. Its health responses say so at once, its entry with the next
+    /// heartbeat.
+    pub fn become_cold(&self, time: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request, and crashes if there were too many for a cold worker.
+    fn count_arrival(&self) {
+        let now = Instant::now();
+        let mut arrivals = self.arrivals.lock().unwrap();
+        arrivals.push_back(now);
+        while arrivals.front().is_some_and(|first| *first + Duration::from_secs(1) < now) {
+            arrivals.pop_front();
+        }
+        let cold_until = *self.cold_until.lock().unwrap();
+        if cold_until.is_none_or(|until| until < now) {
+            return;
+        }
+        let cold_since = cold_until.map(|until| until - self.cold_time());
+        let count = arrivals.iter().filter(|at| Some(**at) >= cold_since).count();
+        if count as f64 > self.crash_rate && !self.crashed.swap(true, Ordering::Relaxed) {
+            self.record.note(&format!("{} crashes: {count} requests in a second", self.options.id));
+        }
+    }
+
+    fn cold_time(&self) -> Duration {
+        Duration::from_secs_f64(crate::fleet::WARM_UP_S)
+    }
+
+    fn warm_up_left(&self) -> Duration {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     fn serve(&self, mut connection: Connection) {
         let mut late_copy: Option<Vec<u8>> = None;
         while let Ok(request) = connection.read() {
@@ -117,7 +177,7 @@
                 while connection.read().is_ok() {}
                 return;
             };
-            if connection.write(&answer).is_err() {
+            if self.has_crashed() || connection.write(&answer).is_err() {
                 return;
             }
             let is_request = request.header("x-mustardrail-request-id").is_some();
@@ -142,6 +202,8 @@
             headers.push(("X-Mustardrail-Server-Load", &load));
         }
         if request.target() == "/healthz" {
+            let left = self.warm_up_left().as_millis().to_string();
+            headers.push(("X-Mustardrail-Warmup-Ms", &left));
             return Some(response("200 OK", &headers, b""));
         }
         let Some(id) = request.header("x-mustardrail-request-id") else {
@@ -156,6 +218,7 @@
             return Some(response("421 Misdirected Request", &headers, b""));
         }
         self.record.arrived(id, own_id);
+        self.count_arrival();
         if !self.enter() {
             if self.options.on_full == OnFull::Hang {
                 return None;
@@ -200,7 +263,7 @@
         let until = Instant::now() + self.options.work.mul_f64(self.work_factor());
         while Instant::now() < until {
             std::thread::sleep(CLOSE_CHECK.min(until.saturating_duration_since(Instant::now())));
-            if connection.is_closed() {
+            if connection.is_closed() || self.has_crashed() {
                 return false;
             }
         }
