--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -102,9 +102,17 @@
     }
 }
 
+/// Returns an address with a free port below those that the kernel gives to outgoing connections, so
+/// that a restarted VM finds it free again.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the socket is bound")
+    let random = Random::new();
+    loop {
+        let port = 10_000 + (random.next() * 20_000.0) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Starts entry VMs with the settings that `deploy/settings.json` gives a small deployment.
