Send no request twice on a connection to the same server

Cause: a server refuses the first attempt, the second one goes to the same server on the same connection, and a late copy of the refusal arrives there. All attempts of a request have the same request ID, so the ID can't tell the copy from the answer. The refusal was no "response to a request" for the pool either (`return_connection` in place of `record_response`), so the rule that keeps requests which may run once off connections with a recent response allowed it.

Change: a further attempt at an address that was attempted before opens a new connection, for requests of every kind and whatever time has passed. Refusals count as responses: `put_responded` is the only way by which a connection returns to a pool after a request (answers, refusals, forwarded requests); health checks have no request ID and return as before.

Ruled out: counting refusals as responses alone. That rule ends 2 s after the response, and a server may ask for a longer rest between two attempts.

--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -20,9 +20,7 @@
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
 use crate::headers::remove_hop_by_hop;
-use crate::hosted::selection::{
-    discard_body, is_from_server, keep_alive_timeout, return_connection,
-};
+use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
 use crate::hosted::service::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
 use crate::prefixed_body::PrefixedBody;
@@ -321,7 +319,7 @@
     let keep_alive = keep_alive_timeout(exchange.response.headers());
     // The connection of a refusal whose body doesn't end soon is closed: the retry must not wait.
     if discard_body(exchange.response.into_body()).await.is_some() {
-        return_connection(&lease.service, exchange.connection, keep_alive);
+        lease.service.pool.put_responded(exchange.connection, keep_alive, Instant::now());
     }
     lease.finish(SampleOutcome::Shed, report);
     AttemptOutcome::NotRun(NotRunReason::Shed)
@@ -335,7 +333,7 @@
     exchange: Exchange,
     report: Option<ServerLoad>,
 ) -> AttemptOutcome {
-    let Exchange { server, response, mut connection } = exchange;
+    let Exchange { server, response, connection } = exchange;
     let (mut parts, mut incoming) = response.into_parts();
     let outcome = match parts.status.is_server_error() {
         true => SampleOutcome::Failed,
@@ -359,8 +357,7 @@
         false => incoming.size_hint().exact().map(|rest| rest + bytes.len() as u64),
     };
     let http = if is_complete {
-        connection.record_response(Instant::now(), keep_alive);
-        lease.service.pool.put_idle(connection, Instant::now());
+        lease.service.pool.put_responded(connection, keep_alive, Instant::now());
         lease.finish(outcome, report);
         buffered_response(parts, bytes)
     } else {
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -5,6 +5,7 @@
 //! when the first server takes too long. Once an attempt has reached a server, every further one
 //! counts against the service's budget of extra attempts.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -88,6 +89,9 @@
     pub(crate) expected_time: Duration,
     /// Servers of all attempts, including those that could not be reached.
     pub(crate) attempted_servers: Vec<ServerTicket>,
+    /// Addresses of these servers. A server that was listed again has a new ticket, but may still
+    /// send a late response on a connection to its address.
+    pub(crate) attempted_addresses: Vec<SocketAddr>,
     /// Server of the last attempt.
     pub(crate) last_server: Option<ServerId>,
     /// Number of attempts, excluding those that could not reach their server.
@@ -486,7 +490,12 @@
         reuse_policy: ReusePolicy,
         sent_flags: &mut SentFlags,
     ) -> impl Future<Output = FinishedAttempt> + use<> {
+        let incarnation = server.lease.incarnation();
+        let address = incarnation.as_ref().map(|incarnation| incarnation.address);
+        let is_repeated =
+            address.is_some_and(|address| self.progress.attempted_addresses.contains(&address));
         let reuse_policy = match self.route.execution {
+            _ if is_repeated => ReusePolicy::Never,
             ExecutionSemantics::Idempotent => reuse_policy,
             ExecutionSemantics::Once => ReusePolicy::NoRecentResponse,
         };
@@ -495,7 +504,7 @@
         sent_flags.push(Arc::clone(&is_sent));
         server.lease.record_sent();
         self.progress.attempted_servers.push(server.lease.ticket());
-        let incarnation = server.lease.incarnation();
+        self.progress.attempted_addresses.extend(address);
         self.progress.last_server = incarnation.as_ref().map(|incarnation| incarnation.id.clone());
         self.progress.attempts += 1;
         let context = AttemptContext {
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -100,7 +100,7 @@
     async fn read_forwarded(
         &self,
         response: Response<hyper::body::Incoming>,
-        mut connection: BackendConnection,
+        connection: BackendConnection,
     ) -> Result<ServerResponse, HostedRefusal> {
         let (mut parts, mut incoming) = response.into_parts();
         let names = &self.wire.headers;
@@ -124,8 +124,7 @@
         let body_bytes = is_complete.then_some(bytes.len() as u64);
         let http = match is_complete {
             true => {
-                connection.record_response(Instant::now(), None);
-                self.helpers.pool.put_idle(connection, Instant::now());
+                self.helpers.pool.put_responded(connection, None, Instant::now());
                 buffered_response(parts, bytes)
             }
             false => streamed_response(parts, bytes, incoming, connection, deadline, |_| {}),
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -21,7 +21,7 @@
 
 use crate::body::BackendRequestBody;
 use crate::hosted::service::{HostedService, ServerLease};
-use crate::pool::{BackendConnection, ReusePolicy};
+use crate::pool::ReusePolicy;
 
 /// Age below which a load report needs no new probe.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(15);
@@ -254,7 +254,8 @@
     service.record_limit(ticket, LimitResponse { rate, is_probe: true, sent_at });
     let keep_alive = keep_alive_timeout(headers);
     discard_body(response.into_body()).await?;
-    return_connection(service, connection, keep_alive);
+    connection.apply_keep_alive(keep_alive);
+    service.pool.put_idle(connection, Instant::now());
     Some(())
 }
 
@@ -276,15 +277,6 @@
     Some(())
 }
 
-pub(crate) fn return_connection(
-    service: &HostedService,
-    mut connection: BackendConnection,
-    keep_alive: Option<Duration>,
-) {
-    connection.apply_keep_alive(keep_alive);
-    service.pool.put_idle(connection, Instant::now());
-}
-
 /// Returns how long a server keeps an idle connection open, by its `Keep-Alive` header.
 pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -85,7 +85,8 @@
     /// Only one that received data within `RECENT_ACTIVITY_WINDOW`, but no response to a request
     /// within `SURPLUS_RESPONSE_WINDOW`, since a faulty server could still send a second one.
     NoRecentResponse,
-    /// None, so that a new connection is opened.
+    /// None, so that a new connection is opened. For a further attempt at the same server: a late
+    /// copy of the response to the earlier one has the request ID of this one too.
     Never,
 }
 
@@ -147,6 +148,19 @@
         open_connection(address, reservation).await
     }
 
+    /// Returns a connection after the whole response to a request, refusals included, was read on
+    /// it. `keep_alive` is the timeout that the server sent with the response.
+    pub(crate) fn put_responded(
+        &self,
+        mut connection: BackendConnection,
+        keep_alive: Option<Duration>,
+        now: Instant,
+    ) {
+        connection.last_response_at = Some(now);
+        connection.apply_keep_alive(keep_alive);
+        self.put_idle(connection, now);
+    }
+
     /// Adds a connection to the idle ones after a complete exchange. It is closed instead if the
     /// limit of idle connections is reached.
     pub(crate) fn put_idle(&self, mut connection: BackendConnection, now: Instant) {
@@ -186,12 +200,6 @@
 }
 
 impl BackendConnection {
-    /// Records the time of a response and the keep-alive timeout that the server sent with it.
-    pub(crate) fn record_response(&mut self, now: Instant, keep_alive: Option<Duration>) {
-        self.last_response_at = Some(now);
-        self.apply_keep_alive(keep_alive);
-    }
-
     /// Closes the connection at `deadline`, even if the rest of a response is not being read, unless
     /// the returned guard is dropped before.
     pub(crate) fn close_at(&self, deadline: Instant) -> CloseGuard {
--- a/components/testkit/src/hosted/raw_server.rs
+++ b/components/testkit/src/hosted/raw_server.rs
@@ -11,7 +11,7 @@
 use routes::{ServerRecord, ServiceName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::hosted::HEALTH_PATH;
 
@@ -117,6 +117,12 @@
         Some(request)
     }
 
+    /// Waits up to `max_wait` for a request. Returns whether one has arrived or the connection has
+    /// ended.
+    pub async fn wait_for_request(&mut self, max_wait: Duration) -> bool {
+        timeout(max_wait, self.stream.readable()).await.is_ok()
+    }
+
     /// Sends bytes as they are.
     pub async fn send(&mut self, bytes: &str) -> Option<()> {
         self.stream.write_all(bytes.as_bytes()).await.ok()
@@ -189,11 +195,15 @@
         self.head.contains(&format!(" {HEALTH_PATH} "))
     }
 
+    /// The request ID; empty if it has none.
+    pub fn id(&self) -> &str {
+        self.header(wire_interface().headers.request_id.as_str())
+    }
+
     /// Header lines that a response to it needs, with the request ID and the server's signature.
     pub fn response_headers(&self) -> String {
         let names = wire_interface().headers;
-        let id = self.header(names.request_id.as_str());
-        format!("{}: {id}\r\n{}: signed\r\n", names.request_id, names.signature)
+        format!("{}: {}\r\n{}: signed\r\n", names.request_id, self.id(), names.signature)
     }
 
     fn header(&self, name: &str) -> &str {
