Close callers' connections in stages

Cause: as soon as hyper has written the last response and shut the connection down, the daemon closes the socket. A caller may send further requests until it reads `Connection: close`; when they arrive at a closed socket, or lie unread in it, the kernel resets the connection and discards what it has not sent yet.

Change: whatever ended a connection (a shutdown, a response that closes it, a malformed request, a timeout, an error), the HTTP server hands the stream back; the daemon ends its side and reads on until the caller closes the connection, for 5 s at most (RFC 9112, 9.6). The listeners of both interfaces do so, and both wait for these connections before the process ends. Requests that were started early are cancelled before, as they were.

Ruled out: doing so in `poll_shutdown` only, since hyper doesn't call it for connections that end with an error. The operators' and readiness listeners have no pipelining callers and are unchanged.

The raw caller of the pipelining tests moved to testkit; its checks are unchanged.

--- a/components/proxy/src/hosted/listener.rs
+++ b/components/proxy/src/hosted/listener.rs
@@ -6,6 +6,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -77,7 +78,7 @@
     fn serve_connection(
         &self,
         stream: TcpStream,
-        mut stop: watch::Receiver<bool>,
+        stop: watch::Receiver<bool>,
     ) -> impl Future<Output = ()> + use<> {
         // A failure is ignored: without TCP_NODELAY, the connection only has more delay.
         let _ = stream.set_nodelay(true);
@@ -85,29 +86,9 @@
         let handler = Arc::clone(&self.handler);
         let pipeline = Pipeline::new(handler, self.pipeline_budget.clone(), builder.clone());
         async move {
-            let stream = pipeline.wrap(stream);
-            let service = service_fn(|request| pipeline.handle(request));
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                // Errors here are caused by the caller: resets, malformed requests, timeouts.
-                _ = connection.as_mut() => return,
-                () = wait_for_stop(&mut stop) => {}
-            }
-            // A graceful shutdown closes a connection whose first request has not been read, even if
-            // it has been sent. The connection closes after that request anyway.
-            if !pipeline.has_request()
-                && timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await.is_ok()
-            {
-                return;
-            }
-            // A graceful shutdown closes a connection after the response in progress.
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = pipeline.finish_started_requests() => {}
-            }
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            let (stream, served_stream) = pipeline.wrap(stream);
+            serve_requests(stream, &builder, pipeline, stop).await;
+            served_stream.close().await;
         }
     }
 
@@ -126,3 +107,33 @@
         builder
     }
 }
+
+/// Serves the requests of a connection until it ends. Requests that were started and are not
+/// answered then are cancelled.
+async fn serve_requests(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    builder: &http1::Builder,
+    pipeline: Pipeline,
+    mut stop: watch::Receiver<bool>,
+) {
+    let service = service_fn(|request| pipeline.handle(request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // Errors here are caused by the caller: resets, malformed requests, timeouts.
+        _ = connection.as_mut() => return,
+        () = wait_for_stop(&mut stop) => {}
+    }
+    // A graceful shutdown closes a connection whose first request has not been read, even if it has
+    // been sent. The connection closes after that request anyway.
+    if !pipeline.has_request() && timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await.is_ok() {
+        return;
+    }
+    // A graceful shutdown closes a connection after the response in progress.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = pipeline.finish_started_requests() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::caller_stream::{ServedStream, wrap_caller_stream};
 use crate::headers::set_connection_close;
 use crate::hosted::handler::HostedHandler;
 use crate::hosted::pipelining::budget::BudgetShare;
@@ -29,7 +30,6 @@
 use crate::hosted::pipelining::started_request::{StartedRequest, may_overlap, read_request};
 use crate::hosted::pipelining::stream::PipelineReader;
 use crate::hosted::pipelining::tracked_body::TrackedBody;
-use crate::wrapped_stream::WrappedStream;
 
 pub(crate) use crate::hosted::pipelining::budget::PipelineBudget;
 pub(crate) use crate::hosted::pipelining::started_request::StartedEarly;
@@ -95,10 +95,13 @@
         Self { shared: Arc::new(shared) }
     }
 
-    /// Returns the stream that the HTTP server reads.
-    pub(crate) fn wrap(&self, stream: TcpStream) -> impl AsyncRead + AsyncWrite + Unpin + use<> {
+    /// Returns the stream that the HTTP server reads, and what is left of it after that.
+    pub(crate) fn wrap(
+        &self,
+        stream: TcpStream,
+    ) -> (impl AsyncRead + AsyncWrite + Unpin + use<>, ServedStream) {
         let mut reader = PipelineReader::new(self.clone());
-        WrappedStream::new(stream, move |stream, context, buffer| {
+        wrap_caller_stream(stream, move |stream, context, buffer| {
             reader.poll_read(stream, context, buffer)
         })
     }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! for bodies, headers and connections.
 
 mod body;
+mod caller_stream;
 mod claim_coordinator;
 mod clock;
 mod dispatch;
--- a/components/proxy/src/listener.rs
+++ b/components/proxy/src/listener.rs
@@ -10,10 +10,12 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
 use observe::{Logger, warn};
 
+use crate::caller_stream::{read_plain, wrap_caller_stream};
 use crate::handler::RequestHandler;
 
 /// Largest number of requests in flight on an HTTP/2 connection.
@@ -76,6 +78,7 @@
 
     /// Accepts connections until `stop` becomes true, then waits for the requests in flight.
     pub async fn serve(self, mut stop: watch::Receiver<bool>) {
+        let mut connections = JoinSet::new();
         loop {
             let permit = tokio::select! {
                 permit = Arc::clone(&self.connection_permits).acquire_owned() => permit,
@@ -85,7 +88,11 @@
             let Ok(permit) = permit else { break };
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, caller)) => self.spawn_connection(stream, caller, permit),
+                    Ok((stream, caller)) => {
+                        if let Some(serving) = self.serve_connection(stream, caller, permit) {
+                            connections.spawn(serving);
+                        }
+                    }
                     Err(error) => {
                         warn!(self.log, "callers: accept failed"; "reason" => %error);
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -93,12 +100,15 @@
                 },
                 () = wait_for_stop(&mut stop) => break,
             }
+            while connections.try_join_next().is_some() {}
         }
         let until = last_accept_time(Instant::now());
         while let Ok(permit) = Arc::clone(&self.connection_permits).try_acquire_owned()
             && let Some((stream, caller)) = accept_waiting(&self.listener, until).await
         {
-            self.spawn_connection(stream, caller, permit);
+            if let Some(serving) = self.serve_connection(stream, caller, permit) {
+                connections.spawn(serving);
+            }
         }
         let graceful_shutdown =
             self.graceful_shutdown.lock().expect("shutdown lock is never poisoned").take();
@@ -106,30 +116,31 @@
         if let Some(graceful_shutdown) = graceful_shutdown {
             graceful_shutdown.shutdown().await;
         }
+        while connections.join_next().await.is_some() {}
     }
 
-    fn spawn_connection(
+    /// Returns a future that serves a connection; `None` if the shutdown has begun.
+    fn serve_connection(
         &self,
         stream: TcpStream,
         caller: SocketAddr,
         permit: OwnedSemaphorePermit,
-    ) {
+    ) -> Option<impl Future<Output = ()> + use<>> {
         // A failure is ignored: without TCP_NODELAY, the connection only has more delay.
         let _ = stream.set_nodelay(true);
         let handler = Arc::clone(&self.handler);
         let service = service_fn(move |request| Arc::clone(&handler).handle(request, caller.ip()));
+        let (stream, served_stream) = wrap_caller_stream(stream, read_plain);
         let connection = self.builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let graceful_shutdown =
             self.graceful_shutdown.lock().expect("shutdown lock is never poisoned");
-        let Some(graceful_shutdown) = graceful_shutdown.as_ref() else {
-            return;
-        };
-        let connection = graceful_shutdown.watch(connection);
-        tokio::spawn(async move {
+        let connection = graceful_shutdown.as_ref()?.watch(connection);
+        Some(async move {
             // Errors here are caused by the caller: resets, malformed requests, timeouts.
             let _ = connection.await;
+            served_stream.close().await;
             drop(permit);
-        });
+        })
     }
 }
 
--- /dev/null
+++ b/components/testkit/src/hosted/raw_caller.rs
@@ -0,0 +1,109 @@
+//! Callers that write and read bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::wire_interface;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+use crate::caller::CallRequest;
+
+/// Longest wait for a response.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller that writes and reads bytes.
+pub struct RawCaller {
+    /// The connection to the daemon.
+    pub stream: TcpStream,
+    /// Bytes that were received and not yet returned.
+    pub received: Vec<u8>,
+}
+
+/// A response as a raw caller reads it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct RawResponse {
+    /// The status.
+    pub status: u16,
+    /// Request ID in the response; empty if there is none.
+    pub id: String,
+    /// Whether the connection closes after the response.
+    pub closes: bool,
+}
+
+impl RawCaller {
+    /// Opens a connection.
+    pub async fn connect(address: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(address).await.expect("the daemon listens"))
+    }
+
+    /// Opens a connection whose receive buffer is small, so that most of what the daemon sends waits
+    /// at the daemon's end.
+    pub async fn connect_with_receive_buffer(address: SocketAddr, bytes: u32) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket is free");
+        socket.set_recv_buffer_size(bytes).expect("the option is supported");
+        Self::new(socket.connect(address).await.expect("the daemon listens"))
+    }
+
+    fn new(stream: TcpStream) -> Self {
+        stream.set_nodelay(true).expect("the option is supported");
+        Self { stream, received: Vec::new() }
+    }
+
+    /// Sends bytes as they are.
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.expect("the daemon reads");
+    }
+
+    /// Reads the next response; `None` if the connection ends before it.
+    pub async fn next_response(&mut self) -> Option<RawResponse> {
+        let end = self.read_until(|bytes| {
+            let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+            end.map(|start| start + 4)
+        });
+        let head = String::from_utf8(end.await?).expect("heads are text").to_lowercase();
+        let field = |name: &str| {
+            let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+            line.unwrap_or_default().to_owned()
+        };
+        let length: usize = field("content-length").parse().unwrap_or(0);
+        self.read_until(|bytes| (bytes.len() >= length).then_some(length)).await?;
+        Some(RawResponse {
+            status: head[9..12].parse().expect("a response has a status"),
+            id: field(wire_interface().headers.request_id.as_str()),
+            closes: field("connection") == "close",
+        })
+    }
+
+    /// Reads the bytes up to an end; `None` if the connection ends before it.
+    async fn read_until(&mut self, end: impl Fn(&[u8]) -> Option<usize>) -> Option<Vec<u8>> {
+        loop {
+            if let Some(end) = end(&self.received) {
+                return Some(self.received.drain(..end).collect());
+            }
+            let reading = self.stream.read_buf(&mut self.received);
+            let count = timeout(RESPONSE_TIMEOUT, reading).await.expect("the daemon responds");
+            if count.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
+    /// Whether no byte of a response has arrived.
+    pub fn has_no_response(&mut self) -> bool {
+        self.received.is_empty() && self.stream.try_read_buf(&mut self.received).is_err()
+    }
+}
+
+/// The bytes of a request. Its body must be text.
+pub fn request_text(request: &CallRequest) -> String {
+    let mut text = format!("{} {} HTTP/1.1\r\n", request.method, request.path);
+    for (name, value) in &request.headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    if !request.body.is_empty() {
+        text += &format!("content-length: {}\r\n", request.body.len());
+    }
+    text + "\r\n" + std::str::from_utf8(&request.body).expect("bodies are text")
+}
--- a/tests/hosted_pipelining.rs
+++ b/tests/hosted_pipelining.rs
@@ -4,13 +4,11 @@
 use std::time::Duration;
 
 use hyper::Method;
-use platform::wire_interface;
 use testkit::{
-    CallRequest, HostedBehaviour, HostedFleet, HostedRun, eventually, hosted_request, read_metric,
-    request_id,
+    CallRequest, HostedBehaviour, HostedFleet, HostedRun, RESPONSE_TIMEOUT, RawCaller, eventually,
+    hosted_request, read_metric, request_id, request_text,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
@@ -21,75 +19,6 @@
 const SLOW_RUN: HostedBehaviour = HostedBehaviour::Run(SLOW_TIME);
 const FAST_RUN: HostedBehaviour = HostedBehaviour::Run(Duration::ZERO);
 
-/// Longest wait for a response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// A caller that writes and reads bytes.
-struct RawCaller {
-    stream: TcpStream,
-    received: Vec<u8>,
-}
-
-/// A response as a raw caller reads it.
-#[derive(Debug, PartialEq, Eq)]
-struct RawResponse {
-    status: u16,
-    /// Request ID in the response; empty if there is none.
-    id: String,
-    closes: bool,
-}
-
-impl RawCaller {
-    async fn connect(fleet: &HostedFleet) -> Self {
-        let stream = TcpStream::connect(fleet.daemon.callers).await.expect("the daemon listens");
-        stream.set_nodelay(true).expect("the option is supported");
-        Self { stream, received: Vec::new() }
-    }
-
-    async fn send(&mut self, text: &str) {
-        self.stream.write_all(text.as_bytes()).await.expect("the daemon reads");
-    }
-
-    /// Reads the next response; `None` if the connection ends before it.
-    async fn next_response(&mut self) -> Option<RawResponse> {
-        let end = self.read_until(|bytes| {
-            let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
-            end.map(|start| start + 4)
-        });
-        let head = String::from_utf8(end.await?).expect("heads are text").to_lowercase();
-        let field = |name: &str| {
-            let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
-            line.unwrap_or_default().to_owned()
-        };
-        let length: usize = field("content-length").parse().unwrap_or(0);
-        self.read_until(|bytes| (bytes.len() >= length).then_some(length)).await?;
-        Some(RawResponse {
-            status: head[9..12].parse().expect("a response has a status"),
-            id: field(wire_interface().headers.request_id.as_str()),
-            closes: field("connection") == "close",
-        })
-    }
-
-    /// Reads the bytes up to an end; `None` if the connection ends before it.
-    async fn read_until(&mut self, end: impl Fn(&[u8]) -> Option<usize>) -> Option<Vec<u8>> {
-        loop {
-            if let Some(end) = end(&self.received) {
-                return Some(self.received.drain(..end).collect());
-            }
-            let reading = self.stream.read_buf(&mut self.received);
-            let count = timeout(RESPONSE_TIMEOUT, reading).await.expect("the daemon responds");
-            if count.ok()? == 0 {
-                return None;
-            }
-        }
-    }
-
-    /// Whether no byte of a response has arrived.
-    fn has_no_response(&mut self) -> bool {
-        self.received.is_empty() && self.stream.try_read_buf(&mut self.received).is_err()
-    }
-}
-
 async fn start_fleet(behaviour: HostedBehaviour) -> HostedFleet {
     let fleet = HostedFleet::start(Path::new(DAEMON_PATH), 3, behaviour).await;
     // Until the VM knows the size of the fleet, it opens one connection to each server.
@@ -97,20 +26,8 @@
     fleet
 }
 
-/// The bytes of a request.
-fn text(request: &CallRequest) -> String {
-    let mut text = format!("{} {} HTTP/1.1\r\n", request.method, request.path);
-    for (name, value) in &request.headers {
-        text += &format!("{name}: {value}\r\n");
-    }
-    if !request.body.is_empty() {
-        text += &format!("content-length: {}\r\n", request.body.len());
-    }
-    text + "\r\n" + std::str::from_utf8(&request.body).expect("bodies are text")
-}
-
 fn texts(requests: &[CallRequest]) -> String {
-    requests.iter().map(text).collect()
+    requests.iter().map(request_text).collect()
 }
 
 fn reads(fleet: &HostedFleet, count: usize) -> Vec<CallRequest> {
@@ -140,7 +57,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn reads_run_at_once_and_are_answered_in_order() {
     let fleet = start_fleet(SLOW_RUN).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let requests = reads(&fleet, 7);
     caller.send(&texts(&requests[..1])).await;
     expect_runs(&fleet, 1).await;
@@ -163,7 +80,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn reads_of_one_write_run_concurrently() {
     let fleet = start_fleet(SLOW_RUN).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let requests = reads(&fleet, 6);
     caller.send(&texts(&requests)).await;
     expect_responses(&mut caller, &requests).await;
@@ -178,7 +95,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_behind_a_slow_read_expires_before_the_response_to_that() {
     let fleet = start_fleet(SLOW_RUN).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let callers = fleet.daemon.callers;
     let first = fleet.idempotent_request();
     let second = hosted_request(callers, "short", Method::GET, "/read/2", 300);
@@ -202,7 +119,7 @@
         (fleet.request(Method::GET, "/order/2"), false),
     ];
     for (order, is_unsafe) in requests {
-        let mut caller = RawCaller::connect(&fleet).await;
+        let mut caller = RawCaller::connect(fleet.daemon.callers).await;
         let [before, behind] = [reads(&fleet, 2), reads(&fleet, 2)];
         let requests = [&before[..], std::slice::from_ref(&order), &behind[..]].concat();
         caller.send(&texts(&requests)).await;
@@ -221,7 +138,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_may_arrive_in_any_pieces() {
     let fleet = start_fleet(FAST_RUN).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let length = texts(&reads(&fleet, 2)).len();
     for cut in 0..length + 40 {
         let mut requests = reads(&fleet, 2);
@@ -249,7 +166,7 @@
     const RUN_TIME: Duration = Duration::from_millis(20);
     const MAX_CONCURRENT: usize = 17;
     let fleet = start_fleet(HostedBehaviour::Run(RUN_TIME)).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let requests = reads(&fleet, 1_000);
     let text = texts(&requests);
     let (mut reader, mut writer) = caller.stream.into_split();
@@ -280,12 +197,12 @@
 async fn memory_for_requests_that_wait_is_bounded() {
     const MAX_GROWTH_BYTES: u64 = 4 << 20;
     let fleet = start_fleet(LONG_RUN).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     caller.send(&texts(&reads(&fleet, 2))).await;
     expect_runs(&fleet, 2).await;
     let before = fleet.daemon.usage().resident_bytes;
     // Ends when neither the daemon nor the kernel accepts any more.
-    let text = text(&fleet.order_request("one stone")).repeat(1_000);
+    let text = request_text(&fleet.order_request("one stone")).repeat(1_000);
     while timeout(Duration::from_secs(1), caller.stream.write_all(text.as_bytes())).await.is_ok() {}
     let growth = fleet.daemon.usage().resident_bytes.saturating_sub(before);
     assert!(growth < MAX_GROWTH_BYTES, "{growth} bytes");
@@ -297,12 +214,12 @@
     let fleet = start_fleet(LONG_RUN).await;
     for further in [0, 200] {
         let started_before = fleet.runs().len();
-        let mut caller = RawCaller::connect(&fleet).await;
+        let mut caller = RawCaller::connect(fleet.daemon.callers).await;
         let order = fleet.order_request("one stone");
         caller.send(&texts(&reads(&fleet, 5))).await;
         // These wait, most of them outside of the daemon. All fit into the buffer of the socket,
         // behind which the kernel doesn't report that the caller has left.
-        caller.send(&text(&order).repeat(further)).await;
+        caller.send(&request_text(&order).repeat(further)).await;
         expect_runs(&fleet, started_before + 5).await;
         drop(caller);
         // Runs that end by themselves aren't cancelled.
@@ -317,12 +234,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_runs_behind_a_response_that_closes_the_connection() {
     let fleet = start_fleet(SLOW_RUN).await;
-    let chunked = text(&fleet.request(Method::POST, "/order/1"))
+    let chunked = request_text(&fleet.request(Method::POST, "/order/1"))
         .replace("\r\n\r\n", "\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n");
-    let closing = text(&fleet.idempotent_request().with_header("connection", "close"));
-    let old = text(&fleet.idempotent_request()).replace("HTTP/1.1", "HTTP/1.0");
+    let closing = request_text(&fleet.idempotent_request().with_header("connection", "close"));
+    let old = request_text(&fleet.idempotent_request()).replace("HTTP/1.1", "HTTP/1.0");
     for last in [chunked, closing, old] {
-        let mut caller = RawCaller::connect(&fleet).await;
+        let mut caller = RawCaller::connect(fleet.daemon.callers).await;
         let [before, behind] = [reads(&fleet, 2), reads(&fleet, 2)];
         caller.send(&(texts(&before) + &last + &texts(&behind))).await;
         expect_responses(&mut caller, &before).await;
@@ -337,7 +254,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_run_at_sigterm_are_all_answered() {
     let mut fleet = start_fleet(HostedBehaviour::Run(Duration::from_secs(4))).await;
-    let mut caller = RawCaller::connect(&fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let requests = reads(&fleet, 5);
     caller.send(&texts(&requests)).await;
     expect_runs(&fleet, 5).await;
@@ -345,7 +262,7 @@
     eventually("readiness fails", async || fleet.daemon.readiness_status().await != Some(200))
         .await;
     let late = fleet.idempotent_request();
-    caller.send(&text(&late)).await;
+    caller.send(&request_text(&late)).await;
     expect_responses(&mut caller, &requests[..4]).await;
     let last = caller.next_response().await.expect("the last request is answered");
     assert_eq!((last.status, last.closes), (200, true));
@@ -357,7 +274,7 @@
 
 /// Sends requests, and returns the statuses until the connection ends.
 async fn exchange(fleet: &HostedFleet, requests: &[String], is_pipelined: bool) -> Vec<u16> {
-    let mut caller = RawCaller::connect(fleet).await;
+    let mut caller = RawCaller::connect(fleet.daemon.callers).await;
     let mut statuses = Vec::new();
     if is_pipelined {
         caller.send(&requests.concat()).await;
@@ -405,10 +322,11 @@
         let mut outcomes = Vec::new();
         for is_pipelined in [false, true] {
             let runs_before = fleet.runs().len();
-            let unusual = text(&fleet.idempotent_request());
+            let unusual = request_text(&fleet.idempotent_request());
             let unusual = unusual.replacen("\r\n", &format!("\r\n{lines}"), 1);
             let close = fleet.idempotent_request().with_header("connection", "close");
-            let requests = [text(&fleet.idempotent_request()), unusual, text(&close)];
+            let requests =
+                [request_text(&fleet.idempotent_request()), unusual, request_text(&close)];
             let statuses = exchange(&fleet, &requests, is_pipelined).await;
             outcomes.push((statuses, fleet.runs().len() - runs_before));
         }
--- a/tests/http_rules.rs
+++ b/tests/http_rules.rs
@@ -14,7 +14,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
-use testkit::{CallRequest, TestFleet, TestService, account_record, call, policy_record};
+use testkit::{
+    CallRequest, RawCaller, TestFleet, TestService, account_record, call, policy_record,
+    request_text,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -75,6 +78,31 @@
     );
 }
 
+/// Guards against responses that are lost to the reset of a connection, which the daemon closed while
+/// further requests arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_survive_the_close_of_their_connection() {
+    const REQUESTS: usize = 400;
+    let (fleet, _service) = start_fleet(1, 1, &json!({})).await;
+    let address = fleet.daemons[0].callers;
+    // What is sent doesn't fit into this buffer, and waits at the daemon's end.
+    let mut caller = RawCaller::connect_with_receive_buffer(address, 4 << 10).await;
+    let read = request_text(&idempotent_request(&fleet, 0, "read"));
+    let chunked =
+        "POST /a HTTP/1.1\r\nHost: shop.test\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    caller.send(&(read.repeat(REQUESTS) + chunked)).await;
+    for _ in 0..40 {
+        // A caller may send until it reads that the connection closes.
+        let _ = caller.stream.write_all(read.as_bytes()).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for index in 0..=REQUESTS {
+        let response = caller.next_response().await;
+        let response = response.unwrap_or_else(|| panic!("response {index} was lost"));
+        assert_eq!(response.closes, index == REQUESTS);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn http2_streams_get_their_own_responses() {
     let (fleet, _service) = start_fleet(1, 3, &json!({})).await;
