Refuse requests that the exit could cut, late in a shutdown

Cause: the listener accepts connections until 3.3 s after SIGTERM as long as they come, waits for their first request, and dispatches it; the process exits at 5.6 s, whatever is in flight. Nothing compared a request's deadline with the exit.

Change: from the end of the drain notice (2.8 s) on, a request is accepted only if its deadline is before the exit, so that it is certain to be complete; the others are refused at once as not run, with Retry-After 0, since other VMs accept them. The same check precedes the body, the queue, each attempt and each forward. The times are set with the SIGTERM, so a process that was suspended at the end of the notice checks them too.

Ruled out: closing the listener earlier, which resets connections whose callers don't know of the shutdown; comparing the expected time with the exit, since a tail of requests takes several times as long and accepted work would be cut again.

Evidence: requests_that_the_exit_could_cut_are_refused_at_once_late_in_a_shutdown failed before (200 after the drain notice for an order that may take 60 s), and passes.

--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -1,16 +1,26 @@
 //! Blackboard of an entry VM in hosted mode.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Duration, timeout};
+use tokio::time::{Duration, Instant, timeout};
 
 use model::RevisionNumber;
 use routes::RouteTable;
 
+/// Times of a graceful shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShutdownTimes {
+    /// When callers have had time to notice that the VM is no longer ready. From then on, only those
+    /// requests are accepted that are certain to be complete when the process exits.
+    pub limited_from: Instant,
+    /// When the process exits even with requests in flight.
+    pub exit_at: Instant,
+}
+
 /// State of this entry VM that background tasks and the request path share in hosted mode, where
 /// the hosting platform supplies the configuration.
 #[derive(Debug, Default)]
@@ -22,8 +32,8 @@
     has_evacuations: AtomicBool,
     /// Wakes tasks that wait for the first configuration, evacuations and list of backend servers.
     sync_notify: Notify,
-    /// Whether this entry VM is shutting down.
-    is_draining: AtomicBool,
+    /// Set once this entry VM is shutting down.
+    shutdown: OnceLock<ShutdownTimes>,
     /// Whether this entry VM reaches no backend server of any service.
     has_lost_servers: watch::Sender<bool>,
     /// Caller addresses of other entry VMs that reach backend servers.
@@ -100,14 +110,20 @@
         self.has_evacuations.load(Ordering::Acquire)
     }
 
-    /// Marks this entry VM as shutting down.
-    pub fn start_drain(&self) {
-        self.is_draining.store(true, Ordering::Release);
+    /// Marks this entry VM as shutting down. Only the first call has an effect.
+    pub fn start_drain(&self, times: ShutdownTimes) {
+        let _ = self.shutdown.set(times);
     }
 
     /// Whether this entry VM is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        self.shutdown.get().is_some()
+    }
+
+    /// Whether a request that has its response by `end` may be sent to a backend server at `now`.
+    /// Late in a shutdown, the process would exit while the server still runs the others.
+    pub fn may_start_request(&self, end: Instant, now: Instant) -> bool {
+        self.shutdown.get().is_none_or(|times| now < times.limited_from || end <= times.exit_at)
     }
 
     /// Whether this entry VM reaches backend servers, as far as it knows.
--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use atomic_instant::AtomicInstant;
 pub use blackboard::{ActiveConfig, Blackboard, DrainNotice, FleetView};
-pub use hosted::HostedBoard;
+pub use hosted::{HostedBoard, ShutdownTimes};
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -7,10 +7,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Duration, Instant, interval, sleep, timeout};
+use tokio::time::{Duration, Instant, interval, sleep_until, timeout_at};
 
 use balance::{ColdBound, PlacementOptions, SendTurns};
-use board::HostedBoard;
+use board::{HostedBoard, ShutdownTimes};
 use limits::{AttemptLimits, QuotaLimits, slack_share};
 use observe::{BatchedLogger, FLUSH_INTERVAL, HostedMetrics, Logger, info, slog_level, warn};
 use peers::{RelayHub, RelayTiming, serve_relay};
@@ -147,15 +147,17 @@
     info!(log, "daemon: started"; "vm" => &*settings.vm, "zone" => %settings.zone,
         "callers" => %settings.callers, "store" => %settings.store);
     signals.wait().await;
-    let exit_deadline =
-        Instant::now() + settings.shutdown_grace().saturating_sub(timing.exit_margin);
+    let stopped_at = Instant::now();
+    let shutdown = ShutdownTimes {
+        limited_from: stopped_at + timing.drain_notice,
+        exit_at: stopped_at + settings.shutdown_grace().saturating_sub(timing.exit_margin),
+    };
     info!(log, "daemon: shutdown begins"; "in_flight" => handler.in_flight());
-    board.start_drain();
-    sleep(timing.drain_notice).await;
+    board.start_drain(shutdown);
+    sleep_until(shutdown.limited_from).await;
     // Sending fails only if the listener has already ended.
     let _ = stop_sender.send(true);
-    let remaining = exit_deadline.saturating_duration_since(Instant::now());
-    let has_drained = timeout(remaining, serving).await.is_ok();
+    let has_drained = timeout_at(shutdown.exit_at, serving).await.is_ok();
     info!(log, "daemon: stopped"; "in_flight" => handler.in_flight(), "whole" => has_drained);
     Ok(())
 }
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -123,6 +123,7 @@
 impl HostedDispatch<'_> {
     /// Sends the request until there is a response to forward or no further attempt is possible.
     pub(crate) async fn run(&mut self) -> Result<ServerResponse, HostedRefusal> {
+        self.check_shutdown()?;
         self.check_quarantine()?;
         if self.should_forward() {
             check_access(&self.selection_context(), self.shape);
@@ -293,10 +294,19 @@
 
     /// Refuses a request for reasons that may have arisen while it was queued.
     fn check_before_attempt(&self) -> Result<(), HostedRefusal> {
+        self.check_shutdown()?;
         self.check_quarantine()?;
         self.check_config()
     }
 
+    /// Refuses a request that could still run when this VM exits.
+    fn check_shutdown(&self) -> Result<(), HostedRefusal> {
+        match self.board.may_start_request(self.deadline + RESPONSE_GRACE, Instant::now()) {
+            true => Ok(()),
+            false => Err(HostedRefusal::ShuttingDown),
+        }
+    }
+
     /// Refuses a request if a newer configuration than the one by which it was routed takes away
     /// its key or route.
     pub(crate) fn check_config(&self) -> Result<(), HostedRefusal> {
@@ -412,6 +422,7 @@
         let service = self.service;
         let mut queued = None;
         loop {
+            self.check_shutdown()?;
             let Some(server) = self.select_server().await else {
                 let next_request_at = self.next_request_at()?;
                 let queued = queued.get_or_insert_with(|| service.queue_request());
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -21,7 +21,7 @@
 use crate::dispatch::RequestHead;
 use crate::handler::check_forwardable;
 use crate::headers::{has_chunked_body, read_host, remove_hop_by_hop, set_connection_close};
-use crate::hosted::attempt::ServerResponse;
+use crate::hosted::attempt::{RESPONSE_GRACE, ServerResponse};
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
@@ -193,6 +193,9 @@
             read_millis(request.headers(), &names.deadline_ms).unwrap_or(route.timeout);
         let time_before_attempt = self.route_stats.time_before_attempt(route, requested_time);
         let deadline = now + requested_time.min(route.timeout);
+        if !self.board.may_start_request(deadline + RESPONSE_GRACE, now) {
+            return Err(HostedRefusal::ShuttingDown);
+        }
         let service = self.services.get_or_create(&self.route_stats.next_service(route));
         let is_forwarded = request.headers().contains_key(FORWARDED_HEADER);
         if is_forwarded || !service.access.is_lost() {
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -36,6 +36,10 @@
     /// The body did not arrive in time, or the caller's connection broke. Nothing was sent.
     #[display("body did not come in time")]
     BodyIncomplete,
+    /// The VM shuts down, and would exit before the request is certain to be complete. Other VMs
+    /// accept it at once.
+    #[display("the VM exits before the request is certain to be complete")]
+    ShuttingDown,
     /// No server is available.
     #[display("no backend server takes new work")]
     NoServer,
@@ -85,6 +89,7 @@
             Self::OverQuota(_) | Self::NoCredit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfig
             | Self::AccountChanged
+            | Self::ShuttingDown
             | Self::NoServer
             | Self::Saturated(_)
             | Self::Shed(_)
@@ -102,6 +107,7 @@
             | Self::OverQuota(delay)
             | Self::NoCredit(delay)
             | Self::Quarantined(delay) => Some(delay),
+            Self::ShuttingDown => Some(Duration::ZERO),
             Self::NoConfig | Self::AccountChanged | Self::NoServer | Self::DeadlineBeforeSend => {
                 Some(DEFAULT_RETRY_DELAY)
             }
--- a/tests/hosted_shutdown.rs
+++ b/tests/hosted_shutdown.rs
@@ -3,8 +3,12 @@
 use std::path::Path;
 use std::time::Duration;
 
+use platform::wire_interface;
 use rustix::process::Signal;
-use testkit::{HostedBehaviour, HostedFleet, call, eventually};
+use testkit::{
+    CallRequest, HostedBehaviour, HostedFleet, call, eventually, hosted_config, read_metric,
+    request_id, standard_routes,
+};
 use tokio::time::sleep;
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
@@ -83,3 +87,56 @@
     eventually("the process has exited", async || fleet.daemon.exit_status().is_some()).await;
     assert_eq!(fleet.daemon.exit_status(), Some(0));
 }
+
+/// Guards against LOST: an order that is accepted late in a shutdown is cut when the process exits,
+/// while a server runs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_the_exit_could_cut_are_refused_at_once_late_in_a_shutdown() {
+    const ORDERS: usize = 8;
+    let fleet = start_fleet(Duration::from_millis(50)).await;
+    let mut routes = standard_routes();
+    // Longer than the grace time.
+    routes.iter_mut().for_each(|route| route.timeout = Duration::from_secs(60));
+    fleet.platform.put_config(&hosted_config(2, routes));
+    // Orders that are sent early are served, whatever their deadline.
+    eventually("the configuration is in force", async || {
+        read_metric(fleet.daemon.metrics, "mustardrail_config_version").await == 2.0
+    })
+    .await;
+    fleet.daemon.terminate();
+    eventually("readiness fails", async || fleet.daemon.readiness_status().await != Some(200))
+        .await;
+    let early = with_deadline(fleet.order_request("early"), 60_000);
+    assert_eq!(call(&early).await.expect("the daemon responds").status, 200);
+    // The process is delayed from before the end of the notice until after it.
+    sleep(Duration::from_secs(1)).await;
+    fleet.daemon.signal(Signal::STOP);
+    let calls: Vec<_> = (0..ORDERS)
+        .map(|number| {
+            let is_long = number % 2 == 0;
+            let deadline_ms = if is_long { 60_000 } else { 10_000 };
+            let order = with_deadline(fleet.order_request("late"), deadline_ms);
+            let id = request_id(&order);
+            (is_long, id, tokio::spawn(async move { call(&order).await }))
+        })
+        .collect();
+    sleep(Duration::from_secs(2)).await;
+    fleet.daemon.signal(Signal::CONT);
+    for (is_long, id, task) in calls {
+        let response = task.await.expect("the call task completes").expect("the daemon responds");
+        let runs = fleet.runs().iter().filter(|run| run.id == id).count();
+        match is_long {
+            true => {
+                assert_eq!((response.status, runs), (503, 0), "{id}");
+                assert_eq!(response.header("retry-after"), "0.000", "other VMs accept it");
+            }
+            false => assert_eq!((response.status, runs), (200, 1), "{id}: {}", response.text()),
+        }
+    }
+}
+
+fn with_deadline(mut request: CallRequest, deadline_ms: u64) -> CallRequest {
+    let name = wire_interface().headers.deadline_ms;
+    request.headers.retain(|(header, _)| **header != *name.as_str());
+    request.with_header(name.as_str(), &deadline_ms.to_string())
+}
