Reset connections whose last response broke off without framing

Cause: HTTP/1.0 has no chunks, so hyper lets such a body end with the connection. When the server breaks off, hyper drops the connection, and a socket without unread bytes ends like after a whole response. docs/callers.md promises a reset.

Change: if a connection ends with an error of a response's body and its last request was of HTTP/1.0, it is reset (linger of zero) in place of the staged close. With HTTP/1.1 the framing shows the cut, and earlier pipelined responses must not be lost to a reset, so it closes in stages.

Ruled out: heads that break off. Cuts at random bytes of heads with seven framings, by FIN or reset, never looked complete: hyper reports them as incomplete. A body that ends with its connection and is cut by a FIN can't be told from a whole one.

--- a/components/proxy/src/caller_stream.rs
+++ b/components/proxy/src/caller_stream.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -50,13 +51,39 @@
     Pin::new(stream).poll_read(context, buffer)
 }
 
+/// How the last response on a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LastResponse {
+    /// It is complete, or its framing shows that it is not.
+    Framed,
+    /// It broke off, and the end of the connection would look like its end.
+    CutUnframed,
+}
+
+impl LastResponse {
+    /// Returns how a response ended, from the error of its connection. `is_http10` is the version of
+    /// its request: HTTP/1.0 has no chunks, so a body of unknown length ends with the connection.
+    pub(crate) fn new(error: Option<&hyper::Error>, is_http10: bool) -> Self {
+        match error {
+            // The error comes from the body of the response, not from the caller.
+            Some(error) if is_http10 && error.is_user() => Self::CutUnframed,
+            _ => Self::Framed,
+        }
+    }
+}
+
 impl ServedStream {
-    /// Ends the responses and discards what the caller still sends, until it closes the connection or
-    /// a timeout.
-    pub(crate) async fn close(self) {
+    /// Closes the connection. Discards what the caller still sends, until it closes its end or a
+    /// timeout.
+    pub(crate) async fn close(self, last_response: LastResponse) {
         let Ok(mut stream) = self.stream.await else {
             return;
         };
+        if last_response == LastResponse::CutUnframed {
+            // If the option can't be set, the connection has failed already.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
         // The HTTP server shuts down only those connections that end without an error.
         if stream.shutdown().await.is_ok() {
             // On a timeout the caller had enough time to read.
--- a/components/proxy/src/hosted/listener.rs
+++ b/components/proxy/src/hosted/listener.rs
@@ -14,6 +14,7 @@
 
 use observe::{Logger, warn};
 
+use crate::caller_stream::LastResponse;
 use crate::hosted::handler::HostedHandler;
 use crate::hosted::pipelining::{Pipeline, PipelineBudget};
 use crate::listener::{accept_waiting, last_accept_time, wait_for_stop};
@@ -87,8 +88,8 @@
         let pipeline = Pipeline::new(handler, self.pipeline_budget.clone(), builder.clone());
         async move {
             let (stream, served_stream) = pipeline.wrap(stream);
-            serve_requests(stream, &builder, pipeline, stop).await;
-            served_stream.close().await;
+            let last_response = serve_requests(stream, &builder, pipeline, stop).await;
+            served_stream.close(last_response).await;
         }
     }
 
@@ -114,26 +115,43 @@
     stream: impl AsyncRead + AsyncWrite + Unpin,
     builder: &http1::Builder,
     pipeline: Pipeline,
-    mut stop: watch::Receiver<bool>,
-) {
+    stop: watch::Receiver<bool>,
+) -> LastResponse {
     let service = service_fn(|request| pipeline.handle(request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let result = match serve_until_stopped(&pipeline, connection.as_mut(), stop).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    // Errors are caused by the caller (resets, malformed requests, timeouts) or by a response that
+    // broke off.
+    LastResponse::new(result.err().as_ref(), pipeline.is_http10())
+}
+
+/// Waits until a connection ends, or after a stop until it may be shut down gracefully. That closes
+/// it after the response in progress.
+async fn serve_until_stopped(
+    pipeline: &Pipeline,
+    mut connection: impl Future<Output = hyper::Result<()>> + Unpin,
+    mut stop: watch::Receiver<bool>,
+) -> Option<hyper::Result<()>> {
     tokio::select! {
-        // Errors here are caused by the caller: resets, malformed requests, timeouts.
-        _ = connection.as_mut() => return,
+        result = &mut connection => return Some(result),
         () = wait_for_stop(&mut stop) => {}
     }
     // A graceful shutdown closes a connection whose first request has not been read, even if it has
     // been sent. The connection closes after that request anyway.
-    if !pipeline.has_request() && timeout(FIRST_REQUEST_WAIT, connection.as_mut()).await.is_ok() {
-        return;
+    if !pipeline.has_request()
+        && let Ok(result) = timeout(FIRST_REQUEST_WAIT, &mut connection).await
+    {
+        return Some(result);
     }
-    // A graceful shutdown closes a connection after the response in progress.
     tokio::select! {
-        _ = connection.as_mut() => return,
-        () = pipeline.finish_started_requests() => {}
+        result = &mut connection => Some(result),
+        () = pipeline.finish_started_requests() => None,
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -17,7 +17,7 @@
 
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -60,6 +60,8 @@
     read_ahead: ReadAhead<StartedRequest>,
     held_share: BudgetShare,
     has_request: bool,
+    /// Whether the last request has the version HTTP/1.0.
+    is_http10: bool,
     is_stopped: bool,
     /// Waker of the HTTP server if it waits for a read that is possible after the response in
     /// progress.
@@ -82,6 +84,7 @@
             read_ahead: ReadAhead::new(),
             held_share: budget.take(0),
             has_request: false,
+            is_http10: false,
             is_stopped: false,
             waker: None,
         };
@@ -111,6 +114,11 @@
         self.lock().has_request
     }
 
+    /// Whether the last request has the version HTTP/1.0.
+    pub(crate) fn is_http10(&self) -> bool {
+        self.lock().is_http10
+    }
+
     /// Handles the next request that the HTTP server has received.
     pub(crate) fn handle(
         &self,
@@ -148,6 +156,7 @@
         let length = length.map_or(BodyLength::Unknown, BodyLength::Known);
         let mut state = self.lock();
         state.has_request = true;
+        state.is_http10 = request.version() == Version::HTTP_10;
         let started = state.read_ahead.begin_request(length, may_overlap(request));
         if started.is_some() && state.read_ahead.started_count() == 0 {
             self.shared.started_taken.notify_waiters();
--- a/components/proxy/src/listener.rs
+++ b/components/proxy/src/listener.rs
@@ -1,10 +1,13 @@
 //! Accepts callers' connections over HTTP/1 and HTTP/2.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::service::service_fn;
+use hyper::{Request, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -15,7 +18,7 @@
 
 use observe::{Logger, warn};
 
-use crate::caller_stream::{read_plain, wrap_caller_stream};
+use crate::caller_stream::{LastResponse, read_plain, wrap_caller_stream};
 use crate::handler::RequestHandler;
 
 /// Largest number of requests in flight on an HTTP/2 connection.
@@ -129,16 +132,23 @@
         // A failure is ignored: without TCP_NODELAY, the connection only has more delay.
         let _ = stream.set_nodelay(true);
         let handler = Arc::clone(&self.handler);
-        let service = service_fn(move |request| Arc::clone(&handler).handle(request, caller.ip()));
+        let is_http10 = Arc::new(AtomicBool::new(false));
+        let last_is_http10 = Arc::clone(&is_http10);
+        let service = service_fn(move |request: Request<Incoming>| {
+            last_is_http10.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
+            Arc::clone(&handler).handle(request, caller.ip())
+        });
         let (stream, served_stream) = wrap_caller_stream(stream, read_plain);
         let connection = self.builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let graceful_shutdown =
             self.graceful_shutdown.lock().expect("shutdown lock is never poisoned");
         let connection = graceful_shutdown.as_ref()?.watch(connection);
         Some(async move {
-            // Errors here are caused by the caller: resets, malformed requests, timeouts.
-            let _ = connection.await;
-            served_stream.close().await;
+            // Errors are caused by the caller (resets, malformed requests, timeouts) or by a response
+            // that broke off.
+            let error = connection.await.err().and_then(|error| error.downcast().ok());
+            let is_http10 = is_http10.load(Ordering::Relaxed);
+            served_stream.close(LastResponse::new(error.as_deref(), is_http10)).await;
             drop(permit);
         })
     }
--- a/components/testkit/src/hosted/raw_caller.rs
+++ b/components/testkit/src/hosted/raw_caller.rs
@@ -96,6 +96,22 @@
     }
 }
 
+/// Sends a request with HTTP/1.0, where a body of unknown length ends with the connection. Returns the
+/// status and body of what looks like a whole response; `None` if it broke off.
+pub async fn call_with_http10(request: &CallRequest) -> Option<(u16, Vec<u8>)> {
+    let mut caller = RawCaller::connect(request.address).await;
+    caller.send(&request_text(request).replace("HTTP/1.1", "HTTP/1.0")).await;
+    let mut received = Vec::new();
+    let reading = caller.stream.read_to_end(&mut received);
+    timeout(RESPONSE_TIMEOUT, reading).await.expect("the daemon responds").ok()?;
+    let end = received.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
+    let body = received[end..].to_vec();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let is_whole = length.is_none_or(|length| length.trim().parse::<usize>() == Ok(body.len()));
+    is_whole.then_some((head[9..12].parse().ok()?, body))
+}
+
 /// The bytes of a request. Its body must be text.
 pub fn request_text(request: &CallRequest) -> String {
     let mut text = format!("{} {} HTTP/1.1\r\n", request.method, request.path);
--- a/components/testkit/src/hosted/raw_server.rs
+++ b/components/testkit/src/hosted/raw_server.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use platform::{wire_interface, write_load_header, write_not_run_header};
 use routes::{ServerRecord, ServiceName};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
@@ -128,6 +129,12 @@
         self.stream.write_all(bytes.as_bytes()).await.ok()
     }
 
+    /// Makes the connection end with a reset when it is dropped.
+    pub fn reset(&self) {
+        let socket = SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("the option is supported");
+    }
+
     /// Sends a response with a status line, header lines and a body.
     pub async fn respond(&mut self, status: &str, headers: &str, body: &str) -> Option<()> {
         let length = body.len();
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -27,9 +27,9 @@
 pub use hosted::{
     COLD_OVER, COLD_SLACK, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun,
     HostedServer, RESPONSE_TIMEOUT, RawCaller, RawConnection, RawRequest, RawResponse, RawServer,
-    RecordedRelay, account_entry, eventually, hosted_config, hosted_request, hosted_route,
-    load_header, not_run_header, peak_per_second, recorded_message, request_id, request_text,
-    standard_routes,
+    RecordedRelay, account_entry, call_with_http10, eventually, hosted_config, hosted_request,
+    hosted_route, load_header, not_run_header, peak_per_second, recorded_message, request_id,
+    request_text, standard_routes,
 };
 pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
--- a/tests/http_rules.rs
+++ b/tests/http_rules.rs
@@ -15,8 +15,8 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use testkit::{
-    CallRequest, RawCaller, TestFleet, TestService, account_record, call, policy_record,
-    request_text,
+    BackendBehaviour, CallRequest, RawCaller, TestFleet, TestService, account_record, call,
+    call_with_http10, policy_record, request_text,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -103,6 +103,19 @@
     }
 }
 
+/// Guards against truncated responses that look complete: to a caller with HTTP/1.0, a body without a
+/// length ends with the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_response_ends_with_a_reset_for_old_callers() {
+    let (fleet, service) = start_fleet(1, 1, &json!({ "retry_percent": 0 })).await;
+    service.servers[0].set_behaviour(BackendBehaviour::Truncate);
+    for _ in 0..6 {
+        let response = call_with_http10(&idempotent_request(&fleet, 0, "read")).await;
+        assert!(response.is_none_or(|(status, _)| status != 200), "it looks complete");
+    }
+    assert_eq!(service.servers[0].run_count("read"), 6);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn http2_streams_get_their_own_responses() {
     let (fleet, _service) = start_fleet(1, 3, &json!({})).await;
