Follow a server again after an odd entry under its key

But a server stayed unused for good, or was no longer followed (LOST, DRAIN), once somebody had written one entry with a number that is too large under its key.

Cause: an entry with a lower sequence number, or an earlier start, than the one held counts as late and is ignored (a write without an answer may be performed seconds later). With a start or sequence that is too large, all entries of the server itself are "late" from then on.

Change: entries that seem late are counted. If two come in their order (three if the entry held is leaving) and nobody has renewed the entry held for longer than servers take to renew theirs, it was not the server's own, and the newest one replaces it: after two or three heartbeats. A server that renews its entry is protected as before. Relays and their subscribers decide alike, since they apply the same changes.

Ruled out: bounds for the numbers. Any number above the server's own has the effect. Trusting the store's order alone: late writes come in a later version of the store. Deep nesting, numbers that JSON parsers refuse, ports and addresses out of range, odd keys and sizes up to a row's limit: each made only its own entry invalid.

New and passing before too: late_entries_of_a_server_that_renews_its_entry_change_nothing.

--- a/components/routes/src/registry.rs
+++ b/components/routes/src/registry.rs
@@ -1,6 +1,10 @@
 //! Registry of backend servers, built from listings and changes of the hosting platform's list,
 //! which can be unreachable at times.
 //!
+//! An entry that seems to be older than the one held has arrived late: a write without an answer may
+//! be performed seconds later. If a server goes on writing such entries, and nobody renews the one
+//! held, that one was not the server's own, for example one with a number that is too large.
+//!
 //! A lapsed entry is one that expired because its server could not renew it during an outage. The
 //! list may also be replaced by an older copy of itself, which lacks new servers and contains those
 //! that have been removed since.
@@ -18,6 +22,12 @@
 /// back.
 const REMOVED_ENTRY_MEMORY: Duration = Duration::from_secs(60);
 
+/// Older entries in order after which the entry held was not the server's own.
+const DENIALS: u32 = 2;
+
+/// The same for a server that is leaving: a late entry must not bring it back.
+const LEAVING_DENIALS: u32 = 3;
+
 /// Backend servers by identity, and whether the platform's list is reachable.
 #[derive(Debug)]
 pub struct ServerRegistry {
@@ -37,6 +47,10 @@
 #[derive(Debug)]
 struct RegisteredServer {
     record: ServerRecord,
+    /// When the record was received.
+    received_at: Instant,
+    /// The last of the older records that arrived since then, and how many did in their order.
+    denial: Option<(ServerRecord, u32)>,
     /// When a server whose entry is missing is removed; `None` while it is listed.
     retained_until: Option<Instant>,
     /// Whether the entry is missing from an older copy of the list, which says nothing about the
@@ -45,6 +59,20 @@
 }
 
 impl RegisteredServer {
+    /// Counts a record that is older than the one held. Returns whether the one held was not the
+    /// server's own; `renewal_time` is the longest time in which a server writes its entry again.
+    fn is_denied_by(&mut self, older: &ServerRecord, renewal_time: Duration, now: Instant) -> bool {
+        let count = match &self.denial {
+            Some((last, count)) if last.is_older_than(older) => count + 1,
+            // The same record may be received again.
+            Some((last, count)) if last == older => *count,
+            _ => 1,
+        };
+        self.denial = Some((older.clone(), count));
+        let required = if self.record.is_leaving { LEAVING_DENIALS } else { DENIALS };
+        count >= required && now >= self.received_at + renewal_time
+    }
+
     /// Whether the entry is missing because the server could not renew it, or has stopped.
     fn is_lapsed(&self) -> bool {
         self.retained_until.is_some() && !self.is_missing_in_copy
@@ -164,19 +192,28 @@
         self.servers.is_empty()
     }
 
-    /// Adds or updates a server, unless the record is older than the one held, or an older copy of
-    /// the list contains it although the server was removed since.
+    /// Adds or updates a server, unless the record arrived later than the one held, or an older copy
+    /// of the list contains it although the server was removed since.
     fn upsert(&mut self, record: ServerRecord, now: Instant) {
         let id = record.id.clone();
         if self.is_removed_in_copy(&record, now) {
             return;
         }
         self.removed.remove(&id);
-        let current = self.servers.get(&id);
-        if current.is_some_and(|server| record.is_older_than(&server.record)) {
+        let renewal_time = self.lapsed_retention;
+        if let Some(server) = self.servers.get_mut(&id)
+            && record.is_older_than(&server.record)
+            && !server.is_denied_by(&record, renewal_time, now)
+        {
             return;
         }
-        let server = RegisteredServer { record, retained_until: None, is_missing_in_copy: false };
+        let server = RegisteredServer {
+            record,
+            received_at: now,
+            denial: None,
+            retained_until: None,
+            is_missing_in_copy: false,
+        };
         self.servers.insert(id, server);
     }
 
--- a/components/routes/src/server.rs
+++ b/components/routes/src/server.rs
@@ -19,8 +19,8 @@
     /// shares no state with any other.
     #[serde(rename = "born_ms")]
     pub started_at_ms: u64,
-    /// Sequence number of the entry within this incarnation. An entry with a lower number than
-    /// the one held has arrived late.
+    /// Sequence number of the entry within this incarnation. A single entry with a lower number
+    /// than the one held has arrived late.
     pub sequence: u64,
     /// Address on which the server listens.
     pub address: SocketAddr,
--- a/components/routes/tests/registry.rs
+++ b/components/routes/tests/registry.rs
@@ -166,3 +166,62 @@
     registry.apply_listing(vec![present(record("one", 1))], now);
     assert!(registry.eligible_servers().all(|server| server.is_leaving));
 }
+
+/// Interval at which servers write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Guards against a list that no longer follows a server, since somebody else wrote one entry with a
+/// number that is too large under its key.
+#[test]
+fn server_is_followed_again_after_an_entry_with_a_number_too_large() {
+    let too_large = [
+        ServerRecord { sequence: u64::MAX, ..record("one", 1) },
+        ServerRecord { started_at_ms: u64::MAX, ..record("one", 1) },
+        ServerRecord {
+            started_at_ms: 1 << 53,
+            is_leaving: true,
+            address: "10.9.9.9:9".parse().unwrap(),
+            ..record("one", 1)
+        },
+    ];
+    for odd in too_large {
+        let mut now = Instant::now();
+        let mut registry = registry_of(&["one"], now);
+        registry.apply_changes(vec![present(odd.clone())], now);
+        let heartbeats = if odd.is_leaving { 3 } else { 2 };
+        for sequence in 2..2 + heartbeats {
+            assert_eq!(registry.eligible_servers().collect::<Vec<_>>(), [&odd]);
+            now += HEARTBEAT;
+            registry.apply_changes(vec![present(record("one", sequence))], now);
+        }
+        let own = record("one", 1 + heartbeats);
+        assert_eq!(registry.eligible_servers().collect::<Vec<_>>(), [&own]);
+        // It is followed from then on.
+        let leaving = ServerRecord { is_leaving: true, ..record("one", 9) };
+        registry.apply_changes(vec![present(leaving)], now);
+        assert!(registry.eligible_servers().all(|server| server.is_leaving));
+    }
+}
+
+/// Late entries never bring back a server that is leaving while it renews its entry, in whatever
+/// order they arrive.
+#[test]
+fn late_entries_of_a_server_that_renews_its_entry_change_nothing() {
+    let mut now = Instant::now();
+    let mut registry = registry_of(&["one"], now);
+    let leaving = |sequence| ServerRecord { is_leaving: true, ..record("one", sequence) };
+    for sequence in 20..30 {
+        registry.apply_changes(vec![present(leaving(sequence))], now);
+        for late in 2..8 {
+            registry.apply_changes(vec![present(record("one", sequence + late - 20))], now);
+        }
+        now += HEARTBEAT;
+        assert!(registry.eligible_servers().all(|server| server.is_leaving));
+    }
+    // A single late entry changes nothing later on either, received any number of times.
+    for _ in 0..5 {
+        now += HEARTBEAT;
+        registry.apply_changes(vec![present(record("one", 12))], now);
+        assert!(registry.eligible_servers().all(|server| server.is_leaving));
+    }
+}
--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -86,6 +86,11 @@
         lines.map(|line| serde_json::from_str(line).expect("log lines are JSON")).collect()
     }
 
+    /// All that the process wrote, including the messages of panics.
+    pub fn log_text(&self) -> String {
+        self.process.read_log()
+    }
+
     /// Path of the log file.
     pub fn log_path(&self) -> &Path {
         self.process.log_path()
