--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -17,7 +17,9 @@
 pub use daemon::{COLD_OVER, COLD_SLACK, HostedDaemon};
 pub use fleet::{HostedFleet, hosted_request, request_id};
 pub use raw_caller::{RESPONSE_TIMEOUT, RawCaller, RawResponse, call_with_http10, request_text};
-pub use raw_server::{RawConnection, RawRequest, RawServer, load_header, not_run_header};
+pub use raw_server::{
+    RawConnection, RawRequest, RawServer, limit_header, load_header, not_run_header, warm_up_header,
+};
 pub use recorded_relay::{RecordedRelay, recorded_message};
 pub use server::{HostedBehaviour, HostedRun, HostedServer, peak_per_second};
 
--- a/components/testkit/src/hosted/raw_server.rs
+++ b/components/testkit/src/hosted/raw_server.rs
@@ -7,7 +7,11 @@
 
 use balance::ServerLoad;
 use hyper::header::{HeaderMap, HeaderValue};
-use platform::{wire_interface, write_load_header, write_not_run_header};
+use model::RequestRate;
+use platform::{
+    wire_interface, write_limit_header, write_load_header, write_not_run_header,
+    write_warm_up_header,
+};
 use routes::{ServerRecord, ServiceName};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -185,6 +189,20 @@
     header_lines(&headers, |_| figures.into())
 }
 
+/// Returns the header line with which a server names a limit.
+pub fn limit_header(text: &str) -> String {
+    let mut headers = HeaderMap::new();
+    write_limit_header(&mut headers, RequestRate(1.0));
+    header_lines(&headers, |_| text.into())
+}
+
+/// Returns the header line with which a server says how long it stays cold.
+pub fn warm_up_header(text: &str) -> String {
+    let mut headers = HeaderMap::new();
+    write_warm_up_header(&mut headers, Duration::ZERO);
+    header_lines(&headers, |_| text.into())
+}
+
 /// Returns the header line of a response to a request that was not run.
 pub fn not_run_header() -> String {
     let mut headers = HeaderMap::new();
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -28,8 +28,8 @@
     COLD_OVER, COLD_SLACK, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet, HostedRun,
     HostedServer, RESPONSE_TIMEOUT, RawCaller, RawConnection, RawRequest, RawResponse, RawServer,
     RecordedRelay, account_entry, call_with_http10, eventually, hosted_config, hosted_request,
-    hosted_route, load_header, not_run_header, peak_per_second, recorded_message, request_id,
-    request_text, standard_routes,
+    hosted_route, limit_header, load_header, not_run_header, peak_per_second, recorded_message,
+    request_id, request_text, standard_routes, warm_up_header,
 };
 pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
--- a/tests/hosted_hostile_servers.rs
+++ b/tests/hosted_hostile_servers.rs
@@ -1,12 +1,16 @@
 //! On a hosting platform: backend servers whose responses violate the protocol.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use platform::wire_interface;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use testkit::{
     CallRequest, HostedBehaviour, HostedFleet, HostedServer, RawConnection, RawServer, call,
-    eventually, load_header, not_run_header,
+    eventually, limit_header, load_header, not_run_header, warm_up_header,
 };
 use tokio::time::{Instant, timeout};
 
@@ -58,6 +62,152 @@
     }
 }
 
+/// Guards against servers that are not used for ages because of one value without sense.
+#[tokio::test(flavor = "multi_thread")]
+async fn rest_of_ages_is_ignored() {
+    for rest in ["1e18", "9.2e18", "1e300", "86400000"] {
+        let has_refused = Arc::new(AtomicBool::new(false));
+        let script = move |mut connection: RawConnection| {
+            let has_refused = Arc::clone(&has_refused);
+            async move {
+                loop {
+                    let request = connection.next_request().await?;
+                    let headers = request.response_headers() + &load_header("0,0,4,100");
+                    if request.is_probe() || has_refused.swap(true, Ordering::SeqCst) {
+                        connection.respond("200 OK", &headers, "answer").await?;
+                        continue;
+                    }
+                    let headers = headers + &not_run_header() + &format!("retry-after: {rest}\r\n");
+                    connection.respond("503 Service Unavailable", &headers, "").await?;
+                }
+            }
+        };
+        let server = RawServer::start("s-0", script).await;
+        let fleet = start_with_raw_servers(std::slice::from_ref(&server)).await;
+        for _ in 0..5 {
+            let response = call(&fleet.order_request("one stone")).await.expect("it responds");
+            assert_eq!(response.status, 200, "after a rest of {rest} s");
+        }
+    }
+}
+
+const ODD_VALUES: [&str; 14] = [
+    "",
+    "0",
+    "-1",
+    "1e-320",
+    "1e-9",
+    "1e9",
+    "1e18",
+    "1e300",
+    "1e400",
+    "NaN",
+    "inf",
+    "18446744073709551615",
+    "18446744073709551616",
+    "1,2,3,4,5,6,7",
+];
+
+/// Returns an odd limit. One near 0 means that the server wants no requests, see
+/// `limit_near_zero_that_was_named_once_ends`.
+fn draw_limit(index: usize) -> &'static str {
+    let limit = ODD_VALUES[index];
+    match limit.parse::<f64>() {
+        Ok(rate) if (0.0..1.0).contains(&rate) => "1e9",
+        _ => limit,
+    }
+}
+
+fn draw_headers(rng: &mut StdRng) -> String {
+    let limit = draw_limit(rng.random_range(0..ODD_VALUES.len()));
+    let mut value = || ODD_VALUES[rng.random_range(0..ODD_VALUES.len())];
+    let load = format!("{},{},{},{}", value(), value(), value(), value());
+    let keep_alive = format!("keep-alive: timeout={}\r\n", value());
+    let lines = [
+        load_header(&load),
+        limit_header(limit),
+        warm_up_header(value()),
+        format!("retry-after: {}\r\n", value()),
+        keep_alive,
+    ];
+    lines.into_iter().filter(|_| rng.random_bool(0.5)).collect()
+}
+
+/// Headers without sense, drawn at random, end no request by a panic and have no lasting effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn drawn_headers_without_sense_have_no_lasting_effect() {
+    for seed in 1..=3 {
+        let is_odd = Arc::new(AtomicBool::new(true));
+        let mut servers = Vec::new();
+        for number in 0..seed {
+            let rng = Arc::new(Mutex::new(StdRng::seed_from_u64(seed * 10 + number)));
+            let is_odd = Arc::clone(&is_odd);
+            let script = move |mut connection: RawConnection| {
+                let (rng, is_odd) = (Arc::clone(&rng), Arc::clone(&is_odd));
+                async move {
+                    loop {
+                        let request = connection.next_request().await?;
+                        let mut headers = request.response_headers();
+                        if !is_odd.load(Ordering::SeqCst) {
+                            headers += &load_header("0,0,4,100");
+                            connection.respond("200 OK", &headers, "answer").await?;
+                            continue;
+                        }
+                        let (odd, is_refused) = {
+                            let mut rng = rng.lock().expect("rng lock is never poisoned");
+                            (draw_headers(&mut rng), rng.random_bool(0.3))
+                        };
+                        headers += &odd;
+                        if is_refused && !request.is_probe() {
+                            headers += &not_run_header();
+                            connection.respond("503 Service Unavailable", &headers, "").await?;
+                        } else {
+                            connection.respond("200 OK", &headers, "answer").await?;
+                        }
+                    }
+                }
+            };
+            servers.push(RawServer::start(&format!("s-{number}"), script).await);
+        }
+        let mut fleet = start_with_raw_servers(&servers).await;
+        for _ in 0..40 {
+            let mut read = fleet.idempotent_request();
+            set_deadline(&mut read, Duration::from_millis(300));
+            call(&read).await.expect("the daemon responds");
+        }
+        is_odd.store(false, Ordering::SeqCst);
+        eventually("requests are served", async || fleet.send_requests(20).await == 20).await;
+        assert_eq!(fleet.daemon.exit_status(), None, "seed {seed}");
+        assert!(!fleet.daemon.log_text().contains("panicked"), "seed {seed}");
+    }
+}
+
+/// Guards against a server that is not used for an hour because it named a limit near 0 once, of a
+/// service whose health checks name neither limit nor load.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_near_zero_that_was_named_once_ends() {
+    let has_named = Arc::new(AtomicBool::new(false));
+    let script = move |mut connection: RawConnection| {
+        let has_named = Arc::clone(&has_named);
+        async move {
+            loop {
+                let request = connection.next_request().await?;
+                let mut headers = String::new();
+                if !request.is_probe() {
+                    headers += &request.response_headers();
+                    if !has_named.swap(true, Ordering::SeqCst) {
+                        headers += &limit_header("1e-9");
+                    }
+                }
+                connection.respond("200 OK", &headers, "answer").await?;
+            }
+        }
+    };
+    let server = RawServer::start("s-0", script).await;
+    let fleet = start_with_raw_servers(std::slice::from_ref(&server)).await;
+    eventually("requests are served", async || fleet.send_requests(20).await == 20).await;
+}
+
 /// The server runs an order, but a late response to an earlier health check or request arrives just
 /// as its own would be due. It bears no request ID.
 async fn check_late_response(status: &'static str, states_not_run: bool) {
