Answer requests in flight when the process exits

Cause: the process drops what is in flight at the exit; nothing answers it before.

Change: at the exit, requests in flight get a last response: 504 if they may have run, 503 if they were sent to no server, also those that wait for a credit or in the queue. Half of the margin before the end of the grace time is for writing them. A request that its server is running was cut before too, so for that one the answer is no worse.

--- a/components/board/src/hosted.rs
+++ b/components/board/src/hosted.rs
@@ -17,7 +17,7 @@
     /// When callers have had time to notice that the VM is no longer ready. From then on, only those
     /// requests are accepted that are certain to be complete when the process exits.
     pub limited_from: Instant,
-    /// When the process exits even with requests in flight.
+    /// When the process ends the requests in flight, to exit.
     pub exit_at: Instant,
 }
 
@@ -34,6 +34,8 @@
     sync_notify: Notify,
     /// Set once this entry VM is shutting down.
     shutdown: OnceLock<ShutdownTimes>,
+    /// Wakes the requests in flight when the process is about to exit.
+    exit_notify: Notify,
     /// Whether this entry VM reaches no backend server of any service.
     has_lost_servers: watch::Sender<bool>,
     /// Caller addresses of other entry VMs that reach backend servers.
@@ -126,6 +128,16 @@
         self.shutdown.get().is_none_or(|times| now < times.limited_from || end <= times.exit_at)
     }
 
+    /// Ends the requests in flight, since the process is about to exit.
+    pub fn end_requests(&self) {
+        self.exit_notify.notify_waiters();
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn wait_for_exit(&self) {
+        self.exit_notify.notified().await;
+    }
+
     /// Whether this entry VM reaches backend servers, as far as it knows.
     pub fn reaches_servers(&self) -> bool {
         !*self.has_lost_servers.borrow()
--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Duration, Instant, interval, sleep_until, timeout_at};
+use tokio::time::{Duration, Instant, interval, sleep_until, timeout, timeout_at};
 
 use balance::{ColdBound, PlacementOptions, SendTurns};
 use board::{HostedBoard, ShutdownTimes};
@@ -33,6 +33,9 @@
 /// Time for the log thread to write the last lines before the process exits.
 const FINAL_LOG_WRITE_TIME: Duration = Duration::from_millis(50);
 
+/// Part of the exit margin in which the last responses are written.
+const FINAL_RESPONSE_RATIO: f64 = 0.5;
+
 /// Time between two sweeps that close connections which were idle for too long.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -143,7 +146,7 @@
     ));
     let (stop_sender, stop_receiver) = watch::channel(false);
     let listener = HostedListener::new(callers, Arc::clone(&handler), log.clone());
-    let serving = tokio::spawn(listener.serve(stop_receiver));
+    let mut serving = tokio::spawn(listener.serve(stop_receiver));
     info!(log, "daemon: started"; "vm" => &*settings.vm, "zone" => %settings.zone,
         "callers" => %settings.callers, "store" => %settings.store);
     signals.wait().await;
@@ -157,7 +160,12 @@
     sleep_until(shutdown.limited_from).await;
     // Sending fails only if the listener has already ended.
     let _ = stop_sender.send(true);
-    let has_drained = timeout_at(shutdown.exit_at, serving).await.is_ok();
+    let has_drained = timeout_at(shutdown.exit_at, &mut serving).await.is_ok();
+    if !has_drained {
+        board.end_requests();
+        // The rest of the margin is for callers that don't close their connections.
+        let _ = timeout(timing.exit_margin.mul_f64(FINAL_RESPONSE_RATIO), serving).await;
+    }
     info!(log, "daemon: stopped"; "in_flight" => handler.in_flight(), "whole" => has_drained);
     Ok(())
 }
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -92,6 +92,8 @@
     /// Addresses of these servers. A server that was listed again has a new ticket, but may still
     /// send a late response on a connection to its address.
     pub(crate) attempted_addresses: Vec<SocketAddr>,
+    /// The flag `AttemptContext::is_sent` of each attempt.
+    pub(crate) sent_flags: Vec<Arc<AtomicBool>>,
     /// Server of the last attempt.
     pub(crate) last_server: Option<ServerId>,
     /// Number of attempts, excluding those that could not reach their server.
@@ -117,9 +119,6 @@
     outcome: AttemptOutcome,
 }
 
-/// The flag `AttemptContext::is_sent` of each attempt.
-type SentFlags = Vec<Arc<AtomicBool>>;
-
 impl HostedDispatch<'_> {
     /// Sends the request until there is a response to forward or no further attempt is possible.
     pub(crate) async fn run(&mut self) -> Result<ServerResponse, HostedRefusal> {
@@ -129,9 +128,7 @@
             check_access(&self.selection_context(), self.shape);
             return self.forward().await;
         }
-        let mut sent_flags: SentFlags = Vec::new();
-        let result =
-            timeout_at(self.deadline + RESPONSE_GRACE, self.run_attempts(&mut sent_flags)).await;
+        let result = timeout_at(self.deadline + RESPONSE_GRACE, self.run_attempts()).await;
         match result {
             // The other VM would refuse a quarantined request too.
             Ok(Err(refusal))
@@ -142,10 +139,7 @@
                 self.forward().await
             }
             Ok(result) => result.map_err(|refusal| self.account_for_earlier_attempts(refusal)),
-            Err(_) => {
-                let is_sent = sent_flags.iter().any(|flag| flag.load(Ordering::Acquire));
-                Err(self.refusal_at_deadline(is_sent))
-            }
+            Err(_) => Err(self.refusal_at_deadline()),
         }
     }
 
@@ -158,15 +152,12 @@
         }
     }
 
-    async fn run_attempts(
-        &mut self,
-        sent_flags: &mut SentFlags,
-    ) -> Result<ServerResponse, HostedRefusal> {
+    async fn run_attempts(&mut self) -> Result<ServerResponse, HostedRefusal> {
         let mut attempts = FuturesUnordered::new();
         let server = self.acquire_server().await?;
         self.check_before_attempt()?;
         let mut hedge_at = self.hedge_at(&server);
-        attempts.push(self.start_attempt(server, ReusePolicy::Any, sent_flags));
+        attempts.push(self.start_attempt(server, ReusePolicy::Any));
         let mut may_hedge =
             self.route.execution == ExecutionSemantics::Idempotent && self.body.can_send();
         let mut error_response: Option<ServerResponse> = None;
@@ -199,7 +190,7 @@
                         let is_allowed = self.check_config().is_ok();
                         if let Some(server) = server.filter(|_| is_allowed && self.take_extra()) {
                             let reuse_policy = ReusePolicy::Never;
-                            attempts.push(self.start_attempt(server, reuse_policy, sent_flags));
+                            attempts.push(self.start_attempt(server, reuse_policy));
                         }
                         continue;
                     }
@@ -228,7 +219,7 @@
             match server.filter(|_| self.take_extra()) {
                 Some(server) => {
                     let reuse_policy = self.retry_reuse_policy();
-                    attempts.push(self.start_attempt(server, reuse_policy, sent_flags));
+                    attempts.push(self.start_attempt(server, reuse_policy));
                 }
                 None => return error_response.ok_or_else(|| self.refusal_without_response()),
             }
@@ -499,7 +490,6 @@
         &mut self,
         mut server: SelectedServer,
         reuse_policy: ReusePolicy,
-        sent_flags: &mut SentFlags,
     ) -> impl Future<Output = FinishedAttempt> + use<> {
         let incarnation = server.lease.incarnation();
         let address = incarnation.as_ref().map(|incarnation| incarnation.address);
@@ -512,7 +502,7 @@
         };
         let request = self.request_for_attempt();
         let is_sent = Arc::new(AtomicBool::new(false));
-        sent_flags.push(Arc::clone(&is_sent));
+        self.progress.sent_flags.push(Arc::clone(&is_sent));
         server.lease.record_sent();
         self.progress.attempted_servers.push(server.lease.ticket());
         self.progress.attempted_addresses.extend(address);
@@ -550,11 +540,25 @@
         }
     }
 
-    fn refusal_at_deadline(&self, is_sent: bool) -> HostedRefusal {
-        if is_sent || self.progress.may_have_run {
-            return HostedRefusal::DeadlineAfterSend;
+    fn refusal_at_deadline(&self) -> HostedRefusal {
+        match self.may_run() {
+            true => HostedRefusal::DeadlineAfterSend,
+            false => HostedRefusal::DeadlineBeforeSend,
+        }
+    }
+
+    /// Returns the refusal of a request that is in flight when the process exits.
+    pub(crate) fn refusal_at_exit(&self) -> HostedRefusal {
+        match self.may_run() || self.progress.is_served_elsewhere {
+            true => HostedRefusal::ExitAfterSend,
+            false => HostedRefusal::ShuttingDown,
         }
-        HostedRefusal::DeadlineBeforeSend
+    }
+
+    /// Whether a server may have run the request, or may run it now.
+    fn may_run(&self) -> bool {
+        let is_sent = self.progress.sent_flags.iter().any(|flag| flag.load(Ordering::Acquire));
+        is_sent || self.progress.may_have_run
     }
 
     /// Returns the caller's retry delay for a service whose servers are saturated.
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -236,7 +236,11 @@
             target_at: now + route.target_latency.saturating_sub(time_before_attempt),
             progress: std::mem::take(progress),
         };
-        let result = self.run_with_credit(&mut dispatch).await;
+        let result = tokio::select! {
+            biased;
+            result = self.run_with_credit(&mut dispatch) => result,
+            () = self.board.wait_for_exit() => Err(dispatch.refusal_at_exit()),
+        };
         *progress = dispatch.progress;
         if let Some(bytes) = result.as_ref().ok().and_then(|response| response.body_bytes) {
             self.route_stats.record_response_bytes(route, bytes);
--- a/components/proxy/src/hosted/refusal.rs
+++ b/components/proxy/src/hosted/refusal.rs
@@ -59,6 +59,9 @@
     /// The request crashed the servers that ran it. Contains the rest of its quarantine.
     #[display("request crashed the backend servers that ran it")]
     Quarantined(Duration),
+    /// The process exits while the request may have run.
+    #[display("the VM exits while the request may have run")]
+    ExitAfterSend,
     /// The deadline passed before the request was sent.
     #[display("time passed before the request was sent")]
     DeadlineBeforeSend,
@@ -76,7 +79,7 @@
 impl HostedRefusal {
     /// Whether the request has certainly not run.
     pub(crate) fn is_not_run(self) -> bool {
-        !matches!(self, Self::DeadlineAfterSend | Self::NoUsableResponse)
+        !matches!(self, Self::DeadlineAfterSend | Self::ExitAfterSend | Self::NoUsableResponse)
     }
 
     fn status(self) -> StatusCode {
@@ -95,7 +98,7 @@
             | Self::Shed(_)
             | Self::Quarantined(_)
             | Self::DeadlineBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
-            Self::DeadlineAfterSend => StatusCode::GATEWAY_TIMEOUT,
+            Self::DeadlineAfterSend | Self::ExitAfterSend => StatusCode::GATEWAY_TIMEOUT,
             Self::NoUsableResponse => StatusCode::BAD_GATEWAY,
         }
     }
--- a/tests/hosted_shutdown.rs
+++ b/tests/hosted_shutdown.rs
@@ -1,13 +1,14 @@
 //! On a hosting platform: a graceful shutdown and a reload interrupt no request.
 
+use std::future::pending;
 use std::path::Path;
 use std::time::Duration;
 
 use platform::wire_interface;
 use rustix::process::Signal;
 use testkit::{
-    CallRequest, HostedBehaviour, HostedFleet, call, eventually, hosted_config, read_metric,
-    request_id, standard_routes,
+    CallRequest, HostedBehaviour, HostedFleet, RawConnection, RawServer, call, eventually,
+    hosted_config, load_header, read_metric, request_id, standard_routes,
 };
 use tokio::time::sleep;
 
@@ -140,3 +141,45 @@
     request.headers.retain(|(header, _)| **header != *name.as_str());
     request.with_header(name.as_str(), &deadline_ms.to_string())
 }
+
+/// Guards against LOST: requests at a server that never responds end without a response when the
+/// process exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_flight_at_the_exit_get_a_response() {
+    let silent = RawServer::start("s-0", |mut connection: RawConnection| async move {
+        loop {
+            let request = connection.next_request().await?;
+            if request.is_probe() {
+                connection.respond("200 OK", &load_header("0,0,4,100"), "").await?;
+                continue;
+            }
+            pending::<()>().await;
+        }
+    })
+    .await;
+    let silent = std::slice::from_ref(&silent);
+    let mut fleet = HostedFleet::start_with(Path::new(DAEMON_PATH), Vec::new(), silent).await;
+    let mut routes = standard_routes();
+    routes.iter_mut().for_each(|route| route.timeout = Duration::from_secs(60));
+    fleet.platform.put_config(&hosted_config(2, routes));
+    eventually("the configuration is in force", async || {
+        read_metric(fleet.daemon.metrics, "mustardrail_config_version").await == 2.0
+    })
+    .await;
+    let order = with_timeout(with_deadline(fleet.order_request("one stone"), 60_000));
+    let read = with_timeout(with_deadline(fleet.idempotent_request(), 60_000));
+    let calls = [order, read].map(|request| tokio::spawn(async move { call(&request).await }));
+    eventually("a request has arrived", async || silent[0].run_count() > 0).await;
+    fleet.daemon.terminate();
+    for task in calls {
+        let response = task.await.expect("the call task completes").expect("the daemon responds");
+        assert!([503, 504].contains(&response.status), "{}", response.status);
+    }
+    eventually("the process has exited", async || fleet.daemon.exit_status().is_some()).await;
+    assert_eq!(fleet.daemon.exit_status(), Some(0));
+}
+
+fn with_timeout(mut request: CallRequest) -> CallRequest {
+    request.timeout = Duration::from_secs(60);
+    request
+}
