Soak: restarts in series while callers use their connections to the end

Each VM gets SIGTERM in series, with SIGHUP, SIGINT and further SIGTERM beside it, VMs overlap, and configurations change. Callers keep connections until the process is gone; some pipeline eight requests and read slowly. Checked: LOST (a request that ran and has no response), REFUSED, TWICE, MIXED, exit status and grace time.

--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -20,6 +20,9 @@
 /// Requests to a cold server per second in addition.
 pub const COLD_SLACK: f64 = 8.0;
 
+/// Time from SIGTERM until the process must have exited.
+const GRACE: Duration = Duration::from_secs(30);
+
 /// Pause between two readiness checks.
 const READINESS_CHECK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,13 +52,30 @@
         relay: SocketAddr,
         relays: &[SocketAddr],
     ) -> Self {
-        Self::start_with(program, store, relay, relays, true)
+        Self::start_with(program, store, relay, relays, true, GRACE)
+    }
+
+    /// Starts a daemon like `start_with_relays`, of a fleet that has run before, with a time from
+    /// SIGTERM until it must have exited.
+    pub fn start_with_grace(
+        program: &Path,
+        store: SocketAddr,
+        relay: SocketAddr,
+        relays: &[SocketAddr],
+        grace: Duration,
+    ) -> Self {
+        Self::start_with(program, store, relay, relays, false, grace)
+    }
+
+    /// Starts the process again, with the same settings, after it has exited.
+    pub fn restart(&mut self, program: &Path) {
+        self.process.restart(program, &["--hosted"]);
     }
 
     /// Starts a daemon like `start`, of a fleet that has run before.
     pub fn start_again(program: &Path, store: SocketAddr) -> Self {
         let relay = free_address();
-        Self::start_with(program, store, relay, &[relay], false)
+        Self::start_with(program, store, relay, &[relay], false, GRACE)
     }
 
     fn start_with(
@@ -64,12 +84,13 @@
         relay: SocketAddr,
         relays: &[SocketAddr],
         is_first_start: bool,
+        grace: Duration,
     ) -> Self {
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
         let settings = json!({
             "vm": "entry-1", "zone": "zone-a", "callers": callers, "readiness": readiness,
             "metrics": metrics, "store": store, "relay": relay, "relays": relays,
-            "grace_s": 30, "contact_s": 3, "first_start": is_first_start,
+            "grace_s": grace.as_secs_f64(), "contact_s": 3, "first_start": is_first_start,
             "retries": { "ratio": 0.2, "slack": 120, "window_s": 10 },
             "quotas": { "over": 0.1, "slack": 20, "window_s": 5 },
             "cold_servers": { "over": COLD_OVER, "slack": COLD_SLACK },
--- a/components/testkit/src/hosted/raw_caller.rs
+++ b/components/testkit/src/hosted/raw_caller.rs
@@ -41,9 +41,15 @@
     /// Opens a connection whose receive buffer is small, so that most of what the daemon sends waits
     /// at the daemon's end.
     pub async fn connect_with_receive_buffer(address: SocketAddr, bytes: u32) -> Self {
+        let opened = Self::try_connect_with_receive_buffer(address, bytes).await;
+        opened.expect("the daemon listens")
+    }
+
+    /// Opens such a connection; `None` if the daemon doesn't listen.
+    pub async fn try_connect_with_receive_buffer(address: SocketAddr, bytes: u32) -> Option<Self> {
         let socket = TcpSocket::new_v4().expect("a socket is free");
         socket.set_recv_buffer_size(bytes).expect("the option is supported");
-        Self::new(socket.connect(address).await.expect("the daemon listens"))
+        socket.connect(address).await.ok().map(Self::new)
     }
 
     fn new(stream: TcpStream) -> Self {
@@ -56,6 +62,11 @@
         self.stream.write_all(text.as_bytes()).await.expect("the daemon reads");
     }
 
+    /// Sends bytes; returns whether the connection still accepted them.
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// Reads the next response; `None` if the connection ends before it.
     pub async fn next_response(&mut self) -> Option<RawResponse> {
         let end = self.read_until(|bytes| {
--- a/components/testkit/src/process.rs
+++ b/components/testkit/src/process.rs
@@ -49,6 +49,17 @@
         Self { child, log_path }
     }
 
+    /// Starts the process again with its settings file, after it has exited. Its log goes on.
+    pub(crate) fn restart(&mut self, program: &Path, arguments: &[&str]) {
+        let output = File::options().append(true).open(&self.log_path);
+        let output = output.expect("the log file is writable");
+        let errors = output.try_clone().expect("the log file handle can be cloned");
+        let mut command = Command::new(program);
+        command.args(arguments).arg(self.log_path.with_extension("json"));
+        command.stdin(Stdio::null()).stdout(output).stderr(errors);
+        self.child = start_process(&mut command).expect("the daemon program starts");
+    }
+
     pub(crate) fn id(&self) -> u32 {
         self.child.id()
     }
