--- a/components/daemon/src/hosted/run.rs
+++ b/components/daemon/src/hosted/run.rs
@@ -163,7 +163,7 @@
     let has_drained = timeout_at(shutdown.exit_at, &mut serving).await.is_ok();
     if !has_drained {
         board.end_requests();
-        // The rest of the margin is for callers that don't close their connections.
+        // Ends without a result if callers don't close their connections.
         let _ = timeout(timing.exit_margin.mul_f64(FINAL_RESPONSE_RATIO), serving).await;
     }
     info!(log, "daemon: stopped"; "in_flight" => handler.in_flight(), "whole" => has_drained);
--- a/components/proxy/src/caller_stream.rs
+++ b/components/proxy/src/caller_stream.rs
@@ -1,9 +1,9 @@
 //! Closes callers' connections so that the last responses aren't lost.
 //!
 //! If a socket is closed while bytes arrive at it, the kernel resets the connection and discards what
-//! it has not sent yet. A caller may send further requests, or the rest of a
-//! body, until it has read that the connection closes. Therefore a connection is closed in stages
-//! (RFC 9112, 9.6), whatever ended it.
+//! it has not sent yet. A caller may send further requests, or the rest of a body, until it has read
+//! that the connection closes. Therefore a connection is closed in stages (RFC 9112, 9.6), whatever
+//! ended it.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
