Apply late entries that their servers don't correct

Cause: the fix of odd entries in counted entries that seemed late and needed two or three of them. So a server corrects an odd entry once, and the second late entry may never come.

Change: a number further ahead than a server's can be doesn't count (1,000 sequence numbers, ten years); the entry held is replaced at once. Other late entries replace the one held after the time in which a live server corrects a late write, ten times that if the one held is leaving, and only while the list is reachable. A missing entry forgets the late one. The wait for expiries ends when the list changes, since a late entry may be due after one that expires.

--- a/components/daemon/src/hosted/platform_view.rs
+++ b/components/daemon/src/hosted/platform_view.rs
@@ -201,14 +201,17 @@
         }
     }
 
-    /// Removes servers whose entries have been missing for too long after an outage, until the
-    /// future is dropped.
+    /// Removes servers whose entries have been missing for too long after an outage, and applies late
+    /// entries that their servers don't correct, until the future is dropped.
     pub(crate) async fn run_server_expiry(&self) {
         loop {
             let changed = self.servers_changed.notified();
             let next_expiry = self.lock_servers().registry.next_expiry();
             match next_expiry {
-                Some(at) => sleep_until(at).await,
+                Some(at) => tokio::select! {
+                    () = sleep_until(at) => {}
+                    () = changed => {}
+                },
                 None => changed.await,
             }
             let mut servers = self.lock_servers();
--- a/components/routes/src/registry.rs
+++ b/components/routes/src/registry.rs
@@ -1,9 +1,10 @@
 //! Registry of backend servers, built from listings and changes of the hosting platform's list,
 //! which can be unreachable at times.
 //!
-//! An entry that seems to be older than the one held has arrived late: a write without an answer may
-//! be performed seconds later. If a server goes on writing such entries, and nobody renews the one
-//! held, that one was not the server's own, for example one with a number that is too large.
+//! An entry that is older than the one held has arrived late: a write without an answer may be
+//! performed seconds later. A live server corrects that with its next heartbeat. If it doesn't, or the
+//! number of the entry held is larger than a server's can be, then that one was not the server's own,
+//! and the late one replaces it.
 //!
 //! A lapsed entry is one that expired because its server could not renew it during an outage. The
 //! list may also be replaced by an older copy of itself, which lacks new servers and contains those
@@ -22,11 +23,17 @@
 /// back.
 const REMOVED_ENTRY_MEMORY: Duration = Duration::from_secs(60);
 
-/// Older entries in order after which the entry held was not the server's own.
-const DENIALS: u32 = 2;
+/// Sequence numbers by which a late entry can be behind the one held; a server that writes its entry
+/// once a second takes a quarter of an hour for them.
+const MAX_LATE_NUMBERS: u64 = 1_000;
 
-/// The same for a server that is leaving: a late entry must not bring it back.
-const LEAVING_DENIALS: u32 = 3;
+/// Time by which the start of a server can be later than that of the incarnation before it, in
+/// milliseconds: ten years.
+const MAX_START_LEAD_MS: u64 = 10 * 365 * 24 * 3_600 * 1_000;
+
+/// Factor on the time in which a live server corrects a late entry, for servers that are leaving: a
+/// late entry must not bring them back.
+const LEAVING_FACTOR: u32 = 10;
 
 /// Backend servers by identity, and whether the platform's list is reachable.
 #[derive(Debug)]
@@ -47,10 +54,8 @@
 #[derive(Debug)]
 struct RegisteredServer {
     record: ServerRecord,
-    /// When the record was received.
-    received_at: Instant,
-    /// The last of the older records that arrived since then, and how many did in their order.
-    denial: Option<(ServerRecord, u32)>,
+    /// Older record that the list has instead.
+    late: Option<LateRecord>,
     /// When a server whose entry is missing is removed; `None` while it is listed.
     retained_until: Option<Instant>,
     /// Whether the entry is missing from an older copy of the list, which says nothing about the
@@ -58,19 +63,41 @@
     is_missing_in_copy: bool,
 }
 
+/// A record that is older than the one held.
+#[derive(Debug)]
+struct LateRecord {
+    record: ServerRecord,
+    /// Since when the list has it, or one before it.
+    since: Instant,
+}
+
 impl RegisteredServer {
-    /// Counts a record that is older than the one held. Returns whether the one held was not the
-    /// server's own; `renewal_time` is the longest time in which a server writes its entry again.
-    fn is_denied_by(&mut self, older: &ServerRecord, renewal_time: Duration, now: Instant) -> bool {
-        let count = match &self.denial {
-            Some((last, count)) if last.is_older_than(older) => count + 1,
-            // The same record may be received again.
-            Some((last, count)) if last == older => *count,
-            _ => 1,
-        };
-        self.denial = Some((older.clone(), count));
-        let required = if self.record.is_leaving { LEAVING_DENIALS } else { DENIALS };
-        count >= required && now >= self.received_at + renewal_time
+    fn new(record: ServerRecord) -> Self {
+        Self { record, late: None, retained_until: None, is_missing_in_copy: false }
+    }
+
+    /// Records an older record, which counts from the first one on if several arrive in their order.
+    fn record_late(&mut self, record: ServerRecord, now: Instant) {
+        let is_next = |late: &LateRecord| !record.is_older_than(&late.record);
+        let since = self.late.as_ref().filter(|late| is_next(late)).map_or(now, |late| late.since);
+        self.late = Some(LateRecord { record, since });
+    }
+
+    /// Returns when the late record replaces the one held, if the server hasn't corrected it by then.
+    fn late_due_at(&self, correction_time: Duration) -> Option<Instant> {
+        let factor = if self.record.is_leaving { LEAVING_FACTOR } else { 1 };
+        self.late.as_ref().map(|late| late.since + correction_time * factor)
+    }
+
+    /// Whether a number of the record is larger than that of any record after `older` can be.
+    fn is_too_far_ahead_of(&self, older: &ServerRecord) -> bool {
+        match self.record.is_same_incarnation(older) {
+            true => self.record.sequence.saturating_sub(older.sequence) > MAX_LATE_NUMBERS,
+            false => {
+                let lead = self.record.started_at_ms.saturating_sub(older.started_at_ms);
+                lead > MAX_START_LEAD_MS
+            }
+        }
     }
 
     /// Whether the entry is missing because the server could not renew it, or has stopped.
@@ -139,8 +166,10 @@
         }
     }
 
-    /// Removes servers whose retention has ended; returns whether there were any.
+    /// Removes servers whose retention has ended, and applies late records that were not corrected;
+    /// returns whether there were any.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
+        let has_applied = self.apply_uncorrected(now);
         let is_expired =
             |server: &RegisteredServer| server.retained_until.is_some_and(|at| now >= at);
         let expired: Vec<ServerId> = self
@@ -152,12 +181,39 @@
         for id in &expired {
             self.remove(id, now);
         }
-        !expired.is_empty()
+        has_applied || !expired.is_empty()
+    }
+
+    /// Replaces records by late ones that their servers had the time to correct. Returns whether
+    /// there were any.
+    fn apply_uncorrected(&mut self, now: Instant) -> bool {
+        let mut has_applied = false;
+        for server in self.servers.values_mut() {
+            let is_due = server.late_due_at(self.lapsed_retention).is_some_and(|at| now >= at);
+            let Some(mut late) = server.late.take_if(|_| is_due) else {
+                continue;
+            };
+            if self.is_unreachable {
+                // Servers may not reach the list either.
+                late.since = now;
+                server.late = Some(late);
+            } else {
+                *server = RegisteredServer::new(late.record);
+                has_applied = true;
+            }
+        }
+        has_applied
     }
 
-    /// Returns when `remove_expired` is due next; `None` if no entry has lapsed.
+    /// Returns when `remove_expired` is due next; `None` if no entry has lapsed or is late.
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.servers.values().filter_map(|server| server.retained_until).min()
+        let correction_time = self.lapsed_retention;
+        let late_due = |server: &RegisteredServer| server.late_due_at(correction_time);
+        self.servers
+            .values()
+            .flat_map(|server| [server.retained_until, late_due(server)])
+            .flatten()
+            .min()
     }
 
     /// Returns the servers that may receive requests. Those that an older copy lacks are included
@@ -200,21 +256,14 @@
             return;
         }
         self.removed.remove(&id);
-        let renewal_time = self.lapsed_retention;
         if let Some(server) = self.servers.get_mut(&id)
             && record.is_older_than(&server.record)
-            && !server.is_denied_by(&record, renewal_time, now)
+            && !server.is_too_far_ahead_of(&record)
         {
+            server.record_late(record, now);
             return;
         }
-        let server = RegisteredServer {
-            record,
-            received_at: now,
-            denial: None,
-            retained_until: None,
-            is_missing_in_copy: false,
-        };
-        self.servers.insert(id, server);
+        self.servers.insert(id, RegisteredServer::new(record));
     }
 
     fn is_removed_in_copy(&self, record: &ServerRecord, now: Instant) -> bool {
@@ -240,6 +289,7 @@
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
+        server.late = None;
         match until.filter(|_| !server.record.is_leaving) {
             Some(until) => {
                 server.retained_until = Some(server.retained_until.unwrap_or(until));
--- a/components/testkit/src/platform_server.rs
+++ b/components/testkit/src/platform_server.rs
@@ -71,6 +71,19 @@
     pub fn put_server(&self, record: &ServerRecord) {
         self.0.put_row(TableName::Servers, encode_server_row(record));
     }
+
+    /// Writes the entry of a server like the platform does: it changes only if more than its sequence
+    /// number does.
+    pub fn renew_server(&self, record: &ServerRecord) {
+        let row = self.0.find_row(TableName::Servers, record.id.as_str());
+        let held = row.and_then(|row| platform::parse_server_row(&row).ok());
+        let is_unchanged = matches!(held, Some(routes::ServerChange::Present(held))
+            if ServerRecord { sequence: record.sequence, ..held.clone() } == *record
+                && held.sequence <= record.sequence);
+        if !is_unchanged {
+            self.put_server(record);
+        }
+    }
 }
 
 /// A copy of the operator and server tables.
