Count requests that are started before SIGTERM is handled in a closing test

Trace: "daemon: shutdown begins" has 9 requests in flight, since the first further read had arrived before the signal was handled; it was answered as the ninth and closed the connection, as it must. The test assumed that the signal is handled first. It now requires that every request that ran is answered in order, however many these are, and that the last one closes the connection: as strict for the first eight, stricter for the others.

--- a/tests/hosted_closing.rs
+++ b/tests/hosted_closing.rs
@@ -79,17 +79,23 @@
 async fn pipelined_responses_survive_a_shutdown_while_the_caller_goes_on_sending() {
     let (mut fleet, server) = start_fleet().await;
     let mut caller = connect(&fleet).await;
-    let requests = reads(&fleet, 8);
+    let mut requests = reads(&fleet, 8);
     caller.send(&texts(&requests)).await;
     eventually("the requests run", async || server.run_count() == 8).await;
     fleet.daemon.terminate();
     for _ in 0..10 {
         // A caller may send until it reads that the connection closes.
-        let further = request_text(&fleet.idempotent_request());
-        let _ = caller.stream.write_all(further.as_bytes()).await;
+        let further = fleet.idempotent_request();
+        let _ = caller.stream.write_all(request_text(&further).as_bytes()).await;
+        requests.push(further);
         sleep(CLOSE_TIME / 10).await;
     }
-    expect_all(&mut caller, &requests, 200).await;
+    // Further requests are started until the daemon has handled the signal. All that ran are
+    // answered, and the last response closes the connection.
+    let run_count = server.run_count() as usize;
+    assert!(run_count >= 8, "{run_count} requests ran");
+    expect_all(&mut caller, &requests[..run_count], 200).await;
+    assert_eq!(server.run_count() as usize, run_count);
     drop(caller);
     eventually("the process has exited", async || fleet.daemon.exit_status().is_some()).await;
     assert_eq!(fleet.daemon.exit_status(), Some(0));
