--- a/review/standins-2/src/pipelined.rs
+++ b/review/standins-2/src/pipelined.rs
@@ -34,7 +34,7 @@
 const SHORT_BYTES: usize = 1_500;
 
 const CLIENTS: usize = 12;
-const CONNECTIONS_PER_CLIENT: usize = 100;
+const CONNECTIONS_PER_CLIENT: usize = 200;
 /// Requests of a connection: the long one first.
 const PATHS: [&str; 3] = ["/leny950/long", "/leny950/short", "/leny950/short"];
 
