--- a/review/standins-2/src/early_response.rs
+++ b/review/standins-2/src/early_response.rs
@@ -61,7 +61,7 @@
         timeout_s: 8.0,
         target_s: 2.0,
     }];
-    store.put("op", "config", &config(&routes));
+    store.put("op", "config", &config(1, &routes, ""));
     let uploads = Uploads::default();
     for number in 1..=WORKERS {
         let (uploads, record) = (Arc::clone(&uploads), record.clone());
@@ -73,7 +73,7 @@
     }
     let fleet = Fleet::start(&store, VMS)?;
     record.line("the VMs are ready");
-    let fronts = fleet.fronts.clone();
+    let fronts: Vec<SocketAddr> = (0..VMS).map(|index| fleet.front(index)).collect();
     let ordinary_record = record.clone();
     let ordinary = thread::spawn(move || {
         let sending = (0..ORDINARY_UPLOADS).map(|index| {
@@ -87,7 +87,7 @@
     thread::sleep(Duration::from_secs(2));
     let mut sending = Vec::new();
     for index in 0..LONG_UPLOADS {
-        let (front, record) = (fleet.fronts[index % VMS], record.clone());
+        let (front, record) = (fleet.front(index % VMS), record.clone());
         sending.push(thread::spawn(move || upload(front, LONG_BYTES, &record)));
         thread::sleep(LONG_PAUSE);
     }
--- a/review/standins-2/src/given_up.rs
+++ b/review/standins-2/src/given_up.rs
@@ -54,7 +54,7 @@
         timeout_s: 4.0,
         target_s: TARGET_S,
     }];
-    store.put("op", "config", &config(&routes));
+    store.put("op", "config", &config(1, &routes, ""));
     let (arrivals, closes) = (Times::default(), Times::default());
     for number in 1..=WORKERS {
         let (arrivals, record) = (Arc::clone(&arrivals), record.clone());
@@ -78,7 +78,7 @@
         let rate = if is_burst { USUAL_PER_S * BURST_FACTOR } else { USUAL_PER_S };
         let index = clients.len();
         let leaves = has_trouble && index % LEAVING_EVERY == 0;
-        let (front, record) = (fleet.fronts[index % VMS], record.clone());
+        let (front, record) = (fleet.front(index % VMS), record.clone());
         let (body, closes) = (Arc::clone(&body), Arc::clone(&closes));
         clients.push(thread::spawn(move || upload(front, &body, leaves, &closes, &record)));
         thread::sleep(Duration::from_secs_f64(1.0 / rate));
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod json;
 mod pipelined;
 mod record;
+mod recovery;
 mod store;
 mod worker;
 
@@ -54,6 +55,7 @@
     let result = match case.as_str() {
         "early-response" => early_response::run(&record, has_trouble),
         "pipelined" => pipelined::run(&record, has_trouble),
+        "recovery" => recovery::run(&record, has_trouble),
         "given-up" => given_up::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standins-2/src/pipelined.rs
+++ b/review/standins-2/src/pipelined.rs
@@ -54,7 +54,7 @@
         timeout_s: 6.0,
         target_s: 2.0,
     }];
-    store.put("op", "config", &config(&routes));
+    store.put("op", "config", &config(1, &routes, ""));
     let sound_runs = RunIds::default();
     for number in 1..=WORKERS {
         let is_sound = number > FAULTY_WORKERS;
@@ -76,7 +76,7 @@
     record.line("the VMs are ready");
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (front, record) = (fleet.fronts[client % VMS], record.clone());
+            let (front, record) = (fleet.front(client % VMS), record.clone());
             thread::spawn(move || {
                 let connections = 0..CONNECTIONS_PER_CLIENT;
                 let unanswered = connections.flat_map(|_| play_connection(front, &record));
