Hand out a part of another relay only after a handover

Cause: a VM took a relay's part of quotas, of the retry budget's slack and of turns at cold servers as soon as its own settings named it, while the former relay used the same part until its process ended. With settings that take effect at run time it stops sooner, but the files of the VMs change at different moments.

Change: a relay that starts, or whose part grows, has a handover until all VMs know the change, longer while a former relay still accepts connections. The set in effect is a row of the store, so that a relay that starts again in a settled set has none, and one that stays keeps its part.

--- a/components/daemon/src/hosted/mod.rs
+++ b/components/daemon/src/hosted/mod.rs
@@ -13,6 +13,7 @@
 mod platform_view;
 mod platform_watcher;
 mod readiness;
+mod relay_handover;
 mod relay_role;
 mod relay_subscriber;
 mod run;
--- a/components/daemon/src/hosted/relay_role.rs
+++ b/components/daemon/src/hosted/relay_role.rs
@@ -1,5 +1,6 @@
 //! What an entry VM does as a relay, while the settings name it as one.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,8 +16,9 @@
 
 use crate::hosted::crash_exchange::CrashExchange;
 use crate::hosted::platform_view::PlatformView;
+use crate::hosted::relay_handover::RelayHandover;
 use crate::hosted::relay_subscriber::assigned_turns;
-use crate::hosted::settings_watcher::SettingsReceiver;
+use crate::hosted::settings_watcher::{SETTINGS_CHECK_INTERVAL, SettingsReceiver};
 
 /// Serves subscribers and exchanges reports and credits with the other relays.
 pub(crate) struct RelayRole {
@@ -25,6 +27,8 @@
     timing: HostedTiming,
     /// Address of this relay.
     address: SocketAddr,
+    /// All relays in the settings.
+    relays: BTreeSet<SocketAddr>,
     tasks: JoinSet<()>,
     /// Connections to the other relays that this one opens.
     exchanges: FastMap<SocketAddr, AbortHandle>,
@@ -49,7 +53,7 @@
             budget_window: attempt_limits.retention(),
             max_state_age: timing.max_relay_state_age,
             share_validity: timing.relay_silence_timeout,
-            handover_time: std::time::Duration::ZERO,
+            handover_time: settings.relay_change_time() + SETTINGS_CHECK_INTERVAL,
             quotas: quota_limits(&settings),
         };
         let hub = RelayHub::new(relay_timing, is_first_start, Arc::clone(&view.crashes));
@@ -60,14 +64,24 @@
         let own_membership = OwnMembership {
             hub: Arc::clone(&hub),
             view: Arc::clone(view),
-            settings: receiver,
+            settings: receiver.clone(),
             timing,
         };
         tasks.spawn(own_membership.run());
+        let handover = RelayHandover {
+            hub: Arc::clone(&hub),
+            settings: receiver,
+            view: Arc::clone(view),
+            timing,
+            handover_time: relay_timing.handover_time,
+        };
+        tasks.spawn(handover.run(is_first_start));
         let services = Arc::clone(&view.services);
         tasks.spawn(request_own_credits(Arc::clone(&hub), services, relay_timing.quotas));
         let (view, address) = (Arc::clone(view), settings.relay);
-        let mut role = Self { hub, view, timing, address, tasks, exchanges: FastMap::default() };
+        let relays = settings.relays.iter().copied().collect();
+        let exchanges = FastMap::default();
+        let mut role = Self { hub, view, timing, address, relays, tasks, exchanges };
         role.update(&settings);
         role
     }
@@ -75,7 +89,11 @@
     /// Puts changed settings in effect, which still name this VM as a relay.
     pub(crate) fn update(&mut self, settings: &HostedSettings) {
         let now = Instant::now();
-        self.hub.change_relays(settings.relays.len(), now);
+        let relays: BTreeSet<SocketAddr> = settings.relays.iter().copied().collect();
+        if self.relays != relays {
+            self.hub.change_relays(relays.len(), now);
+            self.relays = relays;
+        }
         self.hub.change_quota_limits(settings.quotas.over, settings.quotas.slack, now);
         self.exchanges.retain(|relay, exchange| {
             let is_named = settings.relays.contains(relay);
--- a/components/limits/src/quota/ledger.rs
+++ b/components/limits/src/quota/ledger.rs
@@ -94,9 +94,21 @@
         }
     }
 
+    /// Adds an earlier number of relays, by which a relay may use its part until `until`.
+    pub fn add_earlier_relays(&mut self, relays: usize, until: Instant, now: Instant) {
+        self.relays.add_earlier(relays, until);
+        self.update_parts(now);
+    }
+
+    /// Changes the time until which a relay may use its part by an earlier number of relays.
+    pub fn set_change_end(&mut self, change_end: Instant, now: Instant) {
+        self.relays.set_end(change_end);
+        self.update_parts(now);
+    }
+
     /// Sets the time until which another relay, in whose place this one is, may create credits. This
-    /// one creates none until then.
-    pub fn set_handover_end(&mut self, handover_end: Instant, now: Instant) {
+    /// one, which has created none yet, creates none until then.
+    pub fn set_start(&mut self, handover_end: Instant, now: Instant) {
         self.credits_from = handover_end;
         self.full_from = handover_end.max(now) + self.limits.window;
         for account in self.accounts.values_mut() {
--- a/components/limits/src/relays.rs
+++ b/components/limits/src/relays.rs
@@ -26,11 +26,23 @@
     /// Changes the number. The previous one counts until `until`.
     pub fn change(&mut self, relays: usize, until: Instant) {
         if relays != self.current {
-            self.earlier.push_back((until, self.current));
+            self.add_earlier(self.current, until);
             self.current = relays;
         }
     }
 
+    /// Adds an earlier number, which counts until `until`.
+    pub fn add_earlier(&mut self, relays: usize, until: Instant) {
+        self.earlier.push_back((until, relays));
+    }
+
+    /// Changes the time until which all earlier numbers count.
+    pub fn set_end(&mut self, until: Instant) {
+        for (end, _) in &mut self.earlier {
+            *end = until;
+        }
+    }
+
     /// Returns the number of parts of which a relay holds one; at least 1.
     pub fn parts(&mut self, now: Instant) -> usize {
         self.earlier.retain(|(until, _)| now < *until);
--- a/components/limits/src/slack.rs
+++ b/components/limits/src/slack.rs
@@ -58,7 +58,7 @@
 
     /// Sets the time until which another relay, in whose place this one is, may make grants. None are
     /// made while these may count.
-    pub fn set_handover_end(&mut self, handover_end: Instant) {
+    pub fn set_start(&mut self, handover_end: Instant) {
         self.grants_from = handover_end + self.retention;
     }
 
--- a/components/peers/src/relay/credits.rs
+++ b/components/peers/src/relay/credits.rs
@@ -45,9 +45,21 @@
         self.state().ledger.update(quotas, now);
     }
 
-    /// Sets the time until which another relay may create credits in place of this one.
-    pub(super) fn set_handover_end(&self, handover_end: Instant, now: Instant) {
-        self.state().ledger.set_handover_end(handover_end, now);
+    /// Creates credits from now on, until `until` by no larger part than that of `relays` relays.
+    pub(super) fn keep_part(&self, relays: usize, until: Instant, now: Instant) {
+        let ledger = &mut self.state().ledger;
+        ledger.add_earlier_relays(relays, until, now);
+        ledger.set_start(now, now);
+    }
+
+    /// Changes the time until which a relay may use its part by an earlier number of relays, and if
+    /// `is_start` until which another relay may create credits in place of this one.
+    pub(super) fn set_handover_end(&self, handover_end: Instant, is_start: bool, now: Instant) {
+        let ledger = &mut self.state().ledger;
+        ledger.set_change_end(handover_end, now);
+        if is_start {
+            ledger.set_start(handover_end, now);
+        }
     }
 
     /// Changes the number of relays. A relay may use its part by the previous number until `until`.
--- a/components/peers/src/relay/hub.rs
+++ b/components/peers/src/relay/hub.rs
@@ -109,8 +109,7 @@
     share_relays: RelayCount,
     /// Number of relays that divide what is used in turns.
     turn_relays: RelayCount,
-    /// Time from which this relay assigns turns.
-    turns_from: Instant,
+    handover: Handover,
     next_member: u64,
     /// Turns in use: 0 is the relay's own, the others are those of subscribers.
     used_turns: BTreeSet<u32>,
@@ -118,6 +117,14 @@
     started_at: Instant,
 }
 
+/// The time in which a former relay may still use its part of what the relays divide.
+#[derive(Debug, Clone, Copy)]
+struct Handover {
+    end: Instant,
+    /// Whether this relay has used no part since it started.
+    is_start: bool,
+}
+
 /// A member among which this relay divides budgets and turns: a subscriber, or the relay itself.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Membership {
@@ -237,7 +244,10 @@
             shares: ShareLedger::new(retention, is_first_start, now),
             share_relays: RelayCount::new(relays),
             turn_relays: RelayCount::new(relays),
-            turns_from: now,
+            handover: Handover {
+                end: if is_first_start { now } else { now + timing.handover_time },
+                is_start: !is_first_start,
+            },
             next_member: 0,
             used_turns: BTreeSet::new(),
             started_at: now,
@@ -258,25 +268,53 @@
         hub
     }
 
-    /// Sets the time until which another relay may use this one's part of what the relays divide.
-    /// From a start on that is the handover time, unless it is known that there is no such relay.
-    pub fn set_handover_end(&self, handover_end: Instant, now: Instant) {
+    /// Changes the number of relays, of which this one stays one. What it may use grows once no
+    /// relay uses its part by the previous number.
+    pub fn change_relays(&self, relays: usize, now: Instant) {
+        let end = now + self.timing.handover_time;
         let mut state = self.state();
-        state.shares.set_handover_end(handover_end);
-        state.turns_from = handover_end;
+        state.handover.is_start &= now < state.handover.end;
+        state.handover.end = end;
+        state.share_relays.change(relays, end + self.timing.share_retention());
+        state.turn_relays.change(relays, end + self.timing.share_validity);
         drop(state);
-        self.credits.set_handover_end(handover_end, now);
+        self.credits.change_relays(relays, end, now);
+        self.set_handover_end(end, now);
     }
 
-    /// Changes the number of relays, of which this one stays one. What it may use grows once no
-    /// relay uses its part by the previous number.
-    pub fn change_relays(&self, relays: usize, now: Instant) {
-        let handover_end = now + self.timing.handover_time;
+    /// Ends the handover of a start: this relay was one before, of at most `relays`, and nobody uses
+    /// its part in its place. What it may use grows when the handover would have ended.
+    pub fn keep_part(&self, relays: usize, now: Instant) {
+        let mut state = self.state();
+        let Handover { end, is_start } = state.handover;
+        if !is_start || now >= end {
+            return;
+        }
+        state.handover.is_start = false;
+        state.shares.set_start(now);
+        state.share_relays.add_earlier(relays, end + self.timing.share_retention());
+        state.turn_relays.add_earlier(relays, end + self.timing.share_validity);
+        drop(state);
+        self.credits.keep_part(relays, end, now);
+    }
+
+    /// Changes the end of the handover, until which a former relay may use its part of what the
+    /// relays divide. Returns `false`, and changes nothing, if the handover is over.
+    pub fn set_handover_end(&self, end: Instant, now: Instant) -> bool {
         let mut state = self.state();
-        state.share_relays.change(relays, handover_end + self.timing.share_retention());
-        state.turn_relays.change(relays, handover_end + self.timing.share_validity);
+        if now >= state.handover.end {
+            return false;
+        }
+        let is_start = state.handover.is_start;
+        state.handover.end = end;
+        state.share_relays.set_end(end + self.timing.share_retention());
+        state.turn_relays.set_end(end + self.timing.share_validity);
+        if is_start {
+            state.shares.set_start(end);
+        }
         drop(state);
-        self.credits.change_relays(relays, handover_end, now);
+        self.credits.set_handover_end(end, is_start, now);
+        true
     }
 
     /// Changes how far accounts may exceed their quotas.
@@ -385,7 +423,10 @@
         membership: &Membership,
         now: Instant,
     ) -> Option<SubscriberTurns> {
-        let known_from = membership.joined_at.max(state.turns_from) + self.timing.share_validity;
+        // A relay that starts assigns no turns before.
+        let start = Some(state.handover.end).filter(|_| state.handover.is_start);
+        let known_from = membership.joined_at.max(start.unwrap_or(membership.joined_at))
+            + self.timing.share_validity;
         (now >= known_from).then(|| state.turns(membership.turn, now))
     }
 
--- a/tests/hosted_settings.rs
+++ b/tests/hosted_settings.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use serde_json::json;
-use testkit::{FREE_KEY, HostedDaemon, LIMITED_KEY, QUOTA, QuotaFleet, call, eventually};
+use testkit::{
+    FREE_KEY, HostedDaemon, LIMITED_KEY, QUOTA, QuotaFleet, allowed_requests, call, eventually,
+};
 use tokio::time::sleep;
 
 const DAEMON_PATH: &str = env!("CARGO_BIN_EXE_mustardraild");
@@ -154,3 +156,66 @@
     let took_ms = at("daemon: stopped") - at("daemon: shutdown begins");
     assert!(took_ms < 2_000, "the shutdown took {took_ms} ms");
 }
+
+/// Guards against QUOTA: relays that the settings no longer name grant credits beside the new ones
+/// until their own settings have changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn quota_is_kept_while_all_relays_are_replaced() {
+    // Running VMs become relays, or VMs that restart do.
+    tokio::join!(check_replacement(false), check_replacement(true));
+}
+
+async fn check_replacement(is_restarted: bool) {
+    let mut fleet = start_fleet(RELAYS).await;
+    let relays: Vec<_> = fleet.daemons[RELAYS..].iter().map(HostedDaemon::relay).collect();
+    let all: Vec<usize> = (0..2 * RELAYS).collect();
+    let (served_before, _) = fleet.send(&all, LIMITED_KEY, 120.0, Duration::from_secs(3)).await;
+    change_relays(&fleet.daemons[RELAYS..], &relays, !is_restarted);
+    for daemon in fleet.daemons[RELAYS..].iter_mut().filter(|_| is_restarted) {
+        daemon.kill();
+        daemon.change_setting("first_start", json!(false));
+        daemon.restart(Path::new(DAEMON_PATH));
+        daemon.wait_ready().await;
+    }
+    let sending = Duration::from_secs(10);
+    let change_others = async {
+        // The settings of other VMs may change as much later (`relay_change_s`).
+        sleep(Duration::from_millis(2_500)).await;
+        change_relays(&fleet.daemons[..RELAYS], &relays, false);
+    };
+    let (sent, ()) = tokio::join!(fleet.send(&all, LIMITED_KEY, 120.0, sending), change_others);
+    let (served, refused) = sent;
+    let (largest, allowed) = (fleet.largest_window() as f64, allowed_requests(QUOTA));
+    println!(
+        "served {served_before}, then {served}, refused {}, largest window {largest}",
+        refused.len()
+    );
+    assert!(largest <= allowed, "{largest} requests, {allowed} are allowed, {is_restarted}");
+    let owed = QUOTA.rate.0 * sending.as_secs_f64();
+    assert!(served as f64 >= 0.6 * owed, "{served} of {owed} were served, {is_restarted}");
+}
+
+/// A relay that restarts while its set of relays is known to be settled grants credits at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_of_all_relays_of_a_settled_set_interrupts_no_account_for_long() {
+    let mut fleet = start_fleet(1).await;
+    for daemon in &mut fleet.daemons {
+        daemon.kill();
+        daemon.change_setting("first_start", json!(false));
+        daemon.restart(Path::new(DAEMON_PATH));
+    }
+    for daemon in &mut fleet.daemons {
+        daemon.wait_ready().await;
+    }
+    for relay in &fleet.daemons[..RELAYS] {
+        eventually("the relay knows that its set is settled", async || {
+            !relay.log_lines_containing("the set of relays was settled before").is_empty()
+        })
+        .await;
+    }
+    eventually("the account is served", async || {
+        let response = call(&fleet.request(RELAYS, LIMITED_KEY)).await;
+        response.expect("the daemon responds").status == 200
+    })
+    .await;
+}
