Send responses by this proxy's version of HTTP

What callers saw (MIXED, reported on other systems, shown here): a server answers a long upload at once with HTTP/1.0 200 without a length, sends a part of its body and resets the connection. A caller with HTTP/1.1 got the part as a complete answer if it was longer than 1 MiB.

Cause: the server's version was forwarded with its response. By HTTP/1.0 a streamed body without a length ends with the caller's connection, which was closed in order, since the caller's own version is 1.1.

Change: the head of a response gets HTTP/1.1, like any field of one hop only is removed (RFC 9110, 2.5), for servers, other VMs and the project's own interface. hyper answers callers with HTTP/1.0 by their version.

--- a/components/proxy/src/handler.rs
+++ b/components/proxy/src/handler.rs
@@ -25,8 +25,8 @@
 use crate::dispatch::{DispatchContext, RequestDispatch, RequestHead};
 use crate::exchange::ServerResponse;
 use crate::headers::{
-    has_chunked_body, has_dot_segments, read_host, read_remaining_time, remove_hop_by_hop,
-    set_connection_close, set_forwarded_headers,
+    has_chunked_body, has_dot_segments, prepare_response_head, read_host, read_remaining_time,
+    remove_hop_by_hop, set_connection_close, set_forwarded_headers,
 };
 use crate::idempotency::{
     read_idempotency_key, recorded_response, replay_response, request_fingerprint,
@@ -347,7 +347,7 @@
     permit: AdmissionPermit,
 ) -> (hyper::http::response::Parts, ResponseBody<AdmissionPermit>) {
     let (mut parts, incoming) = response.http.into_parts();
-    remove_hop_by_hop(&mut parts.headers);
+    prepare_response_head(&mut parts);
     // Only the proxy sets this header; a backend server's value is dropped.
     parts.headers.remove(OUTCOME_HEADER);
     parts.headers.insert(OUTCOME_HEADER, HeaderValue::from_static("ran"));
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -7,6 +7,7 @@
     CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
     TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::response::Parts;
 use hyper::{Request, Version};
 
 use balance::LoadReport;
@@ -53,6 +54,15 @@
     headers.remove("proxy-connection");
 }
 
+/// Prepares the head of a server's response for the caller: without fields that apply to the server's
+/// connection only, and with this proxy's version of HTTP (RFC 9110, 2.5). By the version of a server
+/// with HTTP/1.0, a body without a length would end with the caller's connection, and a response that
+/// breaks off would look complete.
+pub(crate) fn prepare_response_head(parts: &mut Parts) {
+    remove_hop_by_hop(&mut parts.headers);
+    parts.version = Version::HTTP_11;
+}
+
 /// Whether a request has a chunked body. The caller's connection must close after its response: if
 /// the request has a Content-Length too, another proxy may determine its end differently (request
 /// smuggling), and hyper removes that field before it can be checked here (RFC 9112, 6.3).
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
-use crate::headers::remove_hop_by_hop;
+use crate::headers::prepare_response_head;
 use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
 use crate::hosted::service::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
@@ -347,7 +347,7 @@
     if limit.is_some() || parts.headers.contains_key(&context.wire.headers.signature) {
         lease.record_limit(limit);
     }
-    remove_hop_by_hop(&mut parts.headers);
+    prepare_response_head(&mut parts);
     let Ok((bytes, is_complete)) = buffer_body(&mut incoming).await else {
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::ConnectionBroken);
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -15,7 +15,7 @@
 use routes::WireInterface;
 
 use crate::body::BackendRequestBody;
-use crate::headers::remove_hop_by_hop;
+use crate::headers::prepare_response_head;
 use crate::hosted::attempt::{
     PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body, buffered_response, set_deadline,
     streamed_response,
@@ -115,7 +115,7 @@
         let server: Option<ServerId> = server.and_then(|id| id.parse().ok());
         let server =
             server.unwrap_or_else(|| "forwarded".parse().expect("the literal is a valid name"));
-        remove_hop_by_hop(&mut parts.headers);
+        prepare_response_head(&mut parts);
         let deadline = self.deadline + RESPONSE_GRACE;
         let buffered = timeout_at(deadline, buffer_body(&mut incoming)).await;
         let Ok(Ok((bytes, is_complete))) = buffered else {
--- a/components/testkit/src/hosted.rs
+++ b/components/testkit/src/hosted.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod quota_fleet;
 mod raw_caller;
+mod raw_response;
 mod raw_server;
 mod recorded_relay;
 mod server;
@@ -21,6 +22,7 @@
     FREE_KEY, LIMITED_KEY, QUOTA, QUOTA_SLACK, QUOTA_WINDOW, QuotaFleet, allowed_requests,
 };
 pub use raw_caller::{RESPONSE_TIMEOUT, RawCaller, RawResponse, call_with_http10, request_text};
+pub use raw_response::{CompleteResponse, exchange_bytes};
 pub use raw_server::{
     RawConnection, RawRequest, RawServer, limit_header, load_header, not_run_header, warm_up_header,
 };
--- a/components/testkit/src/hosted/raw_server.rs
+++ b/components/testkit/src/hosted/raw_server.rs
@@ -109,19 +109,37 @@
 impl RawConnection {
     /// Reads the next request with its body; `None` if the connection ended.
     pub async fn next_request(&mut self) -> Option<RawRequest> {
+        let request = self.next_head().await?;
+        self.read_body(request.content_length()).await?;
+        Some(request)
+    }
+
+    /// Reads the head of the next request; `None` if the connection ended.
+    pub async fn next_head(&mut self) -> Option<RawRequest> {
         let mut received = Vec::new();
         while !received.ends_with(b"\r\n\r\n") {
             received.push(self.stream.read_u8().await.ok()?);
         }
         let request = RawRequest { head: String::from_utf8(received).ok()? };
-        let mut body = vec![0; request.header("content-length").parse().unwrap_or(0)];
-        self.stream.read_exact(&mut body).await.ok()?;
         if !request.is_probe() {
             self.state.runs.fetch_add(1, Ordering::SeqCst);
         }
         Some(request)
     }
 
+    /// Reads bytes of a body; `None` if the connection ended.
+    pub async fn read_body(&mut self, bytes: usize) -> Option<()> {
+        let mut body = vec![0; bytes];
+        self.stream.read_exact(&mut body).await.ok()?;
+        Some(())
+    }
+
+    /// Reads and discards what arrives until the other end closes or resets the connection.
+    pub async fn wait_for_end(&mut self) {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while self.stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+    }
+
     /// Waits up to `max_wait` for a request. Returns whether one has arrived or the connection has
     /// ended.
     pub async fn wait_for_request(&mut self, max_wait: Duration) -> bool {
@@ -231,6 +249,11 @@
         format!("{}: {}\r\n{}: signed\r\n", names.request_id, self.id(), names.signature)
     }
 
+    /// Length of its body, 0 if the head has none.
+    pub fn content_length(&self) -> usize {
+        self.header("content-length").parse().unwrap_or(0)
+    }
+
     fn header(&self, name: &str) -> &str {
         let line = self.head.lines().find(|line| line.to_lowercase().starts_with(name));
         line.and_then(|line| line.split_once(':')).map_or("", |(_, value)| value.trim())
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -25,12 +25,12 @@
 pub use fault_proxy::FaultProxy;
 pub use fleet::{FLEET_KEY, TestFleet, TestService, account_record, policy_record, service_record};
 pub use hosted::{
-    COLD_OVER, COLD_SLACK, FREE_KEY, HOSTED_HOST, HostedBehaviour, HostedDaemon, HostedFleet,
-    HostedRun, HostedServer, LIMITED_KEY, QUOTA, QUOTA_SLACK, QUOTA_WINDOW, QuotaFleet,
-    RESPONSE_TIMEOUT, RawCaller, RawConnection, RawRequest, RawResponse, RawServer, RecordedRelay,
-    account_entry, allowed_requests, call_with_http10, eventually, hosted_config, hosted_request,
-    hosted_route, limit_header, load_header, not_run_header, peak_per_second, recorded_message,
-    request_id, request_text, standard_routes, warm_up_header,
+    COLD_OVER, COLD_SLACK, CompleteResponse, FREE_KEY, HOSTED_HOST, HostedBehaviour, HostedDaemon,
+    HostedFleet, HostedRun, HostedServer, LIMITED_KEY, QUOTA, QUOTA_SLACK, QUOTA_WINDOW,
+    QuotaFleet, RESPONSE_TIMEOUT, RawCaller, RawConnection, RawRequest, RawResponse, RawServer,
+    RecordedRelay, account_entry, allowed_requests, call_with_http10, eventually, exchange_bytes,
+    hosted_config, hosted_request, hosted_route, limit_header, load_header, not_run_header,
+    peak_per_second, recorded_message, request_id, request_text, standard_routes, warm_up_header,
 };
 pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
 pub use property_tests::property_test_config;
