Forward only responses with a final status

What callers saw (reported on other systems for 000): an answer whose status is none. Here 000 and everything below 100 ends as 502, since hyper refuses it, but 101 and statuses from 600 on were forwarded with the server's signature.

Cause: the status was compared with those that promise something, and no other.

Change: a status other than 200 to 599 makes the response unusable; the request may have run.

--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -12,7 +12,7 @@
 use balance::{LoadReport, RequestSample, SampleOutcome, ServerTicket};
 
 use crate::body::BackendRequestBody;
-use crate::headers::read_load_report;
+use crate::headers::{is_final_status, read_load_report};
 use crate::pool::{BackendConnection, ReusePolicy};
 use crate::service::ServiceRuntime;
 
@@ -21,7 +21,8 @@
 pub(crate) enum ExchangeFailure {
     /// No connection could be opened; no byte was sent.
     Unreachable,
-    /// The connection failed after the server may have received the request.
+    /// The connection failed after the server may have received the request, or it carries no valid
+    /// response.
     ConnectionLost,
     /// The deadline passed after the request was sent.
     DeadlineExceeded,
@@ -148,6 +149,10 @@
             return Err(ExchangeFailure::DeadlineExceeded);
         }
     };
+    if !is_final_status(response.status().as_u16()) {
+        lease.finish_failed();
+        return Err(ExchangeFailure::ConnectionLost);
+    }
     let outcome = match is_failure(response.status().as_u16()) {
         true => SampleOutcome::Failed,
         false => SampleOutcome::Responded,
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -63,6 +63,12 @@
     parts.version = Version::HTTP_11;
 }
 
+/// Whether a status is that of a final response (RFC 9110, 15). hyper also returns statuses above
+/// these, and 101, which no request asks for.
+pub(crate) fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Whether a request has a chunked body. The caller's connection must close after its response: if
 /// the request has a Content-Length too, another proxy may determine its end differently (request
 /// smuggling), and hyper removes that field before it can be checked here (RFC 9112, 6.3).
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
-use crate::headers::prepare_response_head;
+use crate::headers::{is_final_status, prepare_response_head};
 use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
 use crate::hosted::service::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
@@ -92,6 +92,9 @@
     /// come from the server.
     #[display("unsigned-answer")]
     Unverified,
+    /// The status is not that of a final response.
+    #[display("invalid-status")]
+    InvalidStatus,
     /// The status promises that the request has not run, but the server doesn't say so.
     #[display("unmarked-promise")]
     UnmarkedPromise,
@@ -280,6 +283,10 @@
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::Unverified);
     }
+    if !is_final_status(status) {
+        lease.finish(SampleOutcome::Failed, report);
+        return AttemptOutcome::Unknown(UnknownReason::InvalidStatus);
+    }
     if (context.wire.is_not_run)(status, headers) {
         context.is_sent.store(false, Ordering::Release);
         if is_other_server {
--- a/tests/hosted_hostile_servers.rs
+++ b/tests/hosted_hostile_servers.rs
@@ -257,6 +257,49 @@
     }
 }
 
+/// Guards against MIXED: a status that is none, such as 000, reaches the caller as an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_an_invalid_status_is_no_answer() {
+    for status in [
+        "000",
+        "000 ",
+        "000 Unknown",
+        "099 Low",
+        "101 Switching Protocols",
+        "199 Odd",
+        "600 High",
+        "999 High",
+        "1000 Long",
+        "20 Short",
+        "2x0 Odd",
+        "-20 Odd",
+        "",
+    ] {
+        let script = move |mut connection: RawConnection| async move {
+            loop {
+                let request = connection.next_request().await?;
+                let load = load_header("0,0,4,100");
+                if request.is_probe() {
+                    connection.respond("200 OK", &load, "").await?;
+                    continue;
+                }
+                connection.respond(status, &(request.response_headers() + &load), "part").await?;
+                return None;
+            }
+        };
+        let servers =
+            [RawServer::start("s-0", script).await, RawServer::start("s-1", script).await];
+        let fleet = start_with_raw_servers(&servers).await;
+        let order = fleet.order_request("one stone");
+        let response = call(&order).await.expect("the daemon responds");
+        assert_eq!(response.status, 502, "an order, the server sent {status:?}");
+        let runs: u64 = servers.iter().map(RawServer::run_count).sum();
+        assert_eq!(runs, 1, "the order ran again after {status:?}");
+        let response = call(&fleet.idempotent_request()).await.expect("the daemon responds");
+        assert_eq!(response.status, 502, "a read, the servers sent {status:?}");
+    }
+}
+
 /// How a server starts a response without end, and what it repeats.
 #[derive(Debug, Clone, Copy)]
 struct EndlessResponse {
