Bound the memory for responses of all requests together

What callers would see (reported on other systems): a VM whose servers send bytes without end runs out of memory, and the requests of all its callers end with it. One server can't do that here, several can: with eight faulty servers and 600 callers a VM used 173 MB; the smallest VMs have 160 MB.

Cause: 1 MiB of a body and 400 KiB of a head were bounds of each request.

Change: responses share 32 MiB; one without room is passed on from what has been read. A buffer is counted until the caller has taken it. A connection to a server keeps 32 KiB instead of 400 KiB. The budget of pipelined requests becomes ByteBudget, which both use.

Ruled out: garbage, header fields, lines, chunk extensions, trailers, interim and surplus responses, health checks: none of them is kept (18 kinds, drawn).

--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -19,6 +19,7 @@
 
 use crate::body::BackendRequestBody;
 use crate::body::CallerResponseBody;
+use crate::byte_budget::ByteBudget;
 use crate::headers::{is_final_status, prepare_response_head};
 use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
 use crate::hosted::service::ServerLease;
@@ -355,7 +356,8 @@
         lease.record_limit(limit);
     }
     prepare_response_head(&mut parts);
-    let Ok((bytes, is_complete)) = buffer_body(&mut incoming).await else {
+    let Ok((bytes, is_complete)) = buffer_body(&mut incoming, &lease.service.response_budget).await
+    else {
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::ConnectionBroken);
     };
@@ -380,22 +382,31 @@
     AttemptOutcome::Responded(ServerResponse { http, server, report_age, limit, body_bytes })
 }
 
-/// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter. Returns
-/// whether the end was reached.
-pub(crate) async fn buffer_body(incoming: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
+/// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter; less if
+/// `budget` has no room, of which the bytes use a part. Returns whether the end was reached.
+pub(crate) async fn buffer_body(
+    incoming: &mut Incoming,
+    budget: &ByteBudget,
+) -> Result<(Bytes, bool), hyper::Error> {
     let mut buffered = BytesMut::new();
-    while buffered.len() < MAX_BUFFERED_RESPONSE_BYTES {
-        let Some(frame) = incoming.frame().await else {
-            return Ok((buffered.freeze(), true));
-        };
-        if let Ok(data) = frame?.into_data() {
-            buffered.extend_from_slice(&data);
+    let mut share = budget.take(0);
+    let mut is_complete = false;
+    while !is_complete && buffered.len() < MAX_BUFFERED_RESPONSE_BYTES {
+        match incoming.frame().await {
+            Some(frame) => {
+                if let Ok(data) = frame?.into_data() {
+                    buffered.extend_from_slice(&data);
+                }
+                is_complete = incoming.is_end_stream();
+            }
+            None => is_complete = true,
         }
-        if incoming.is_end_stream() {
-            return Ok((buffered.freeze(), true));
+        share.resize(buffered.capacity());
+        if !budget.has_room() {
+            break;
         }
     }
-    Ok((buffered.freeze(), false))
+    Ok((share.hold_with(buffered.freeze()), is_complete))
 }
 
 pub(crate) fn buffered_response(parts: Parts, bytes: Bytes) -> Response<CallerResponseBody> {
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -117,7 +117,8 @@
             server.unwrap_or_else(|| "forwarded".parse().expect("the literal is a valid name"));
         prepare_response_head(&mut parts);
         let deadline = self.deadline + RESPONSE_GRACE;
-        let buffered = timeout_at(deadline, buffer_body(&mut incoming)).await;
+        let buffered =
+            timeout_at(deadline, buffer_body(&mut incoming, &self.service.response_budget)).await;
         let Ok(Ok((bytes, is_complete))) = buffered else {
             return Err(HostedRefusal::NoUsableResponse);
         };
--- a/components/proxy/src/hosted/listener.rs
+++ b/components/proxy/src/hosted/listener.rs
@@ -14,9 +14,10 @@
 
 use observe::{Logger, warn};
 
+use crate::byte_budget::ByteBudget;
 use crate::caller_stream::LastResponse;
 use crate::hosted::handler::HostedHandler;
-use crate::hosted::pipelining::{Pipeline, PipelineBudget};
+use crate::hosted::pipelining::Pipeline;
 use crate::listener::{accept_waiting, last_accept_time, wait_for_stop};
 
 /// Delay after a failed accept, for example because no file descriptor was free.
@@ -28,6 +29,9 @@
 /// Largest number of header fields in a request.
 const MAX_HEADER_FIELDS: usize = 100;
 
+/// Bytes of all connections for requests that wait for the response before them.
+const MAX_PIPELINED_BYTES: usize = 16 << 20;
+
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -39,14 +43,14 @@
 pub struct HostedListener {
     listener: TcpListener,
     handler: Arc<HostedHandler>,
-    pipeline_budget: PipelineBudget,
+    pipeline_budget: ByteBudget,
     log: Logger,
 }
 
 impl HostedListener {
     /// Creates a listener on an open socket.
     pub fn new(listener: TcpListener, handler: Arc<HostedHandler>, log: Logger) -> Self {
-        Self { listener, handler, pipeline_budget: PipelineBudget::default(), log }
+        Self { listener, handler, pipeline_budget: ByteBudget::new(MAX_PIPELINED_BYTES), log }
     }
 
     /// Accepts connections until `stop` becomes true, then waits for the requests in flight.
--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -2,10 +2,8 @@
 //! answered. Those that may overlap start when they arrive, and responses leave in order.
 //!
 //! `stream` passes the bytes of a connection to hyper one request at a time, as `read_ahead`
-//! decides. `started_request` runs a request whose head is held back. `budget` limits the memory of
-//! all connections.
+//! decides. `started_request` runs a request whose head is held back.
 
-mod budget;
 mod read_ahead;
 mod started_request;
 mod stream;
@@ -22,16 +20,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::byte_budget::{ByteBudget, ByteShare};
 use crate::caller_stream::{ServedStream, wrap_caller_stream};
 use crate::headers::set_connection_close;
 use crate::hosted::handler::HostedHandler;
-use crate::hosted::pipelining::budget::BudgetShare;
 use crate::hosted::pipelining::read_ahead::{BodyLength, ReadAhead};
 use crate::hosted::pipelining::started_request::{StartedRequest, may_overlap, read_request};
 use crate::hosted::pipelining::stream::PipelineReader;
 use crate::hosted::pipelining::tracked_body::TrackedBody;
 
-pub(crate) use crate::hosted::pipelining::budget::PipelineBudget;
 pub(crate) use crate::hosted::pipelining::started_request::StartedEarly;
 
 /// Largest number of requests of a connection that are started before their turn.
@@ -48,7 +45,7 @@
 
 struct PipelineShared {
     handler: Arc<HostedHandler>,
-    budget: PipelineBudget,
+    budget: ByteBudget,
     /// Builder of the connection, whose limits apply to each head.
     builder: http1::Builder,
     state: Mutex<PipelineState>,
@@ -58,7 +55,7 @@
 
 struct PipelineState {
     read_ahead: ReadAhead<StartedRequest>,
-    held_share: BudgetShare,
+    held_share: ByteShare,
     has_request: bool,
     /// Whether the last request has the version HTTP/1.0.
     is_http10: bool,
@@ -77,7 +74,7 @@
     /// Creates the state of a new connection that `builder` serves.
     pub(crate) fn new(
         handler: Arc<HostedHandler>,
-        budget: PipelineBudget,
+        budget: ByteBudget,
         builder: http1::Builder,
     ) -> Self {
         let state = PipelineState {
--- a/components/proxy/src/hosted/pipelining/started_request.rs
+++ b/components/proxy/src/hosted/pipelining/started_request.rs
@@ -17,8 +17,8 @@
 use tokio::task::JoinHandle;
 
 use crate::body::CallerResponseBody;
+use crate::byte_budget::{ByteBudget, ByteShare};
 use crate::hosted::handler::HostedHandler;
-use crate::hosted::pipelining::budget::{BudgetShare, PipelineBudget};
 
 /// Memory of a request in progress, without its response.
 const REQUEST_BYTES: u64 = 8 << 10;
@@ -31,14 +31,14 @@
 #[derive(Debug)]
 pub(super) struct StartedRequest {
     task: JoinHandle<Result<Response<CallerResponseBody>, Infallible>>,
-    _share: BudgetShare,
+    _share: ByteShare,
 }
 
 impl StartedRequest {
     /// Starts a request, if its route may run it any number of times.
     pub(super) fn start(
         handler: &Arc<HostedHandler>,
-        budget: &PipelineBudget,
+        budget: &ByteBudget,
         mut request: Request<Incoming>,
     ) -> Option<Self> {
         let response_bytes = handler.idempotent_response_bytes(&request)?;
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -22,6 +22,7 @@
 use quarantine::Fingerprint;
 use routes::{RouteTable, ServerRecord, ServiceName, WarmUp};
 
+use crate::byte_budget::ByteBudget;
 use crate::hosted::contacts::ServerContacts;
 use crate::hosted::helpers::Helpers;
 use crate::hosted::quota::AccountQuotas;
@@ -31,6 +32,9 @@
 /// Idle connections kept per server: one for probes and one for a concurrent request.
 const MAX_IDLE_CONNECTIONS_PER_SERVER: usize = 2;
 
+/// Bytes of responses that are read before they are forwarded, of all requests.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
 /// State of one service on this entry VM.
 pub(crate) struct HostedService {
     pub(crate) name: ServiceName,
@@ -46,6 +50,8 @@
     /// Number of entry VMs that share them.
     fleet_size: AtomicU32,
     pub(crate) pool: ConnectionPool,
+    /// Memory of the VM for responses that are read before they are forwarded.
+    pub(crate) response_budget: ByteBudget,
     /// Whether this VM reaches servers of any service.
     pub(crate) access: Arc<ServerAccess>,
     /// Last responses from servers of any service.
@@ -221,6 +227,7 @@
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
+    response_budget: ByteBudget,
     /// Credits for requests of client accounts.
     pub quotas: AccountQuotas,
     /// Other entry VMs that serve requests for this one.
@@ -256,6 +263,7 @@
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
+            response_budget: ByteBudget::new(MAX_BUFFERED_BYTES),
             quotas,
             helpers: Helpers::default(),
             update_lock: Mutex::new(()),
@@ -475,6 +483,7 @@
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
+            response_budget: self.response_budget.clone(),
             access: Arc::clone(&self.access),
             contacts: Arc::clone(&self.contacts),
             metrics: self.metrics.clone(),
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! for bodies, headers and connections.
 
 mod body;
+mod byte_budget;
 mod caller_stream;
 mod claim_coordinator;
 mod clock;
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -24,6 +24,9 @@
 /// Timeout for opening a connection, which takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes of a response's head, or of its body, that one connection keeps. A longer head is refused.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// Longest time that a connection is kept idle.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(30);
 
@@ -294,8 +297,11 @@
     let last_received_at = Arc::new(AtomicInstant::new(now));
     last_received_at.set(now);
     let stream = timestamped(stream, Arc::clone(&last_received_at));
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
     // The exchange receives the connection's errors through `sender`.
     let task = tokio::spawn(async move {
         let _ = connection.await;
