Change the relays during the soak of restarts

The soak drew signals, restarts and configurations; relays stayed as they were. Now their set in the settings of all VMs changes too, one VM after the other, with the signals of the restarts or none.

--- a/components/testkit/src/hosted/daemon.rs
+++ b/components/testkit/src/hosted/daemon.rs
@@ -1,7 +1,7 @@
 //! Hosted daemons as child processes.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use rustix::process::Signal;
@@ -11,7 +11,7 @@
 use crate::caller::{CallRequest, call};
 use crate::daemons::free_address;
 use crate::hosted::{WAIT_TIMEOUT, eventually};
-use crate::process::TestProcess;
+use crate::process::{TestProcess, change_setting};
 use crate::usage::ProcessUsage;
 
 /// Bound of the requests to cold servers in the settings: multiple of the tolerated rate.
@@ -160,7 +160,12 @@
 
     /// Replaces a field of the settings file, without a signal.
     pub fn change_setting(&self, name: &str, value: Value) {
-        self.process.change_setting(name, value);
+        change_setting(&self.settings_path(), name, value);
+    }
+
+    /// Path of the settings file.
+    pub fn settings_path(&self) -> PathBuf {
+        self.process.settings_path()
     }
 
     /// Names other relays in the settings file, without a signal.
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -33,6 +33,7 @@
     peak_per_second, recorded_message, request_id, request_text, standard_routes, warm_up_header,
 };
 pub use platform_server::{FakePlatform, ServerList, StoreBehaviour, TableCopy};
+pub use process::change_setting;
 pub use property_tests::property_test_config;
 pub use soak::{SoakOptions, SoakReport, SoakSize, SoakViolations, run_soak};
 pub use usage::{ProcessUsage, read_metric};
--- a/components/testkit/src/process.rs
+++ b/components/testkit/src/process.rs
@@ -62,19 +62,12 @@
 
     /// The settings file as it is now.
     pub(crate) fn read_settings(&self) -> Value {
-        let text = std::fs::read_to_string(self.log_path.with_extension("json"));
-        serde_json::from_str(&text.expect("the file is readable")).expect("settings are JSON")
+        read_settings(&self.settings_path())
     }
 
-    /// Replaces a field of the settings file.
-    pub(crate) fn change_setting(&self, name: &str, value: Value) {
-        let mut settings = self.read_settings();
-        settings[name] = value;
-        let path = self.log_path.with_extension("json");
-        // The process must not read a part of the file.
-        let new_path = path.with_extension("json.new");
-        std::fs::write(&new_path, settings.to_string()).expect("the folder is writable");
-        std::fs::rename(&new_path, &path).expect("the folder is writable");
+    /// Path of the settings file.
+    pub(crate) fn settings_path(&self) -> PathBuf {
+        self.log_path.with_extension("json")
     }
 
     pub(crate) fn id(&self) -> u32 {
@@ -118,6 +111,21 @@
     }
 }
 
+fn read_settings(path: &Path) -> Value {
+    let text = std::fs::read_to_string(path).expect("the file is readable");
+    serde_json::from_str(&text).expect("settings are JSON")
+}
+
+/// Replaces a field of a settings file.
+pub fn change_setting(path: &Path, name: &str, value: Value) {
+    let mut settings = read_settings(path);
+    settings[name] = value;
+    // A process must not read a part of the file.
+    let new_path = path.with_extension("json.new");
+    std::fs::write(&new_path, settings.to_string()).expect("the folder is writable");
+    std::fs::rename(&new_path, path).expect("the folder is writable");
+}
+
 impl Drop for TestProcess {
     fn drop(&mut self) {
         self.kill();
--- a/tests/hosted_shutdown_soak.rs
+++ b/tests/hosted_shutdown_soak.rs
@@ -1,9 +1,9 @@
-//! On a hosting platform: restarts of entry VMs in series, beside reloads and new configurations, while
-//! callers use their connections until the process is gone.
+//! On a hosting platform: restarts of entry VMs in series, beside reloads, new configurations and other
+//! relays, while callers use their connections until the process is gone.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -11,11 +11,14 @@
 use futures_util::future::join_all;
 use hyper::Method;
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
+use serde_json::json;
 use testkit::{
-    CallRequest, FakePlatform, HostedDaemon, RawCaller, RawConnection, RawServer, free_address,
-    hosted_config, hosted_request, load_header, request_id, request_text, standard_routes,
+    CallRequest, FakePlatform, HostedDaemon, RawCaller, RawConnection, RawServer, change_setting,
+    free_address, hosted_config, hosted_request, load_header, request_id, request_text,
+    standard_routes,
 };
 use tokio::time::{Instant, sleep, timeout};
 
@@ -232,6 +235,20 @@
     }
 }
 
+/// Names other relays in the settings of all VMs, one after the other. The signals of the restarts, or
+/// none, follow.
+async fn change_relays(settings: &[PathBuf], relays: &[SocketAddr], mut rng: StdRng) {
+    loop {
+        sleep(Duration::from_millis(rng.random_range(500..4_000))).await;
+        let count = rng.random_range(1..=relays.len().min(3));
+        let named: Vec<SocketAddr> = relays.sample(&mut rng, count).copied().collect();
+        for path in settings {
+            change_setting(path, "relays", json!(named));
+            sleep(Duration::from_millis(rng.random_range(0..400))).await;
+        }
+    }
+}
+
 async fn check_restarts(seed: u64) {
     let record = Arc::new(SoakRecord::default());
     let platform = FakePlatform::start().await;
@@ -268,6 +285,7 @@
             callers.push(tokio::spawn(caller.run(Arc::clone(&record), Arc::clone(&is_over))));
         }
     }
+    let settings: Vec<PathBuf> = daemons.iter().map(HostedDaemon::settings_path).collect();
     let restarts = daemons.into_iter().enumerate().map(|(index, daemon)| {
         let rng = StdRng::seed_from_u64(seed * 100 + index as u64);
         restart_in_series(daemon, rng, Arc::clone(&record))
@@ -275,6 +293,7 @@
     let daemons = tokio::select! {
         daemons = join_all(restarts) => daemons,
         () = change_config(&platform, StdRng::seed_from_u64(seed)) => Vec::new(),
+        () = change_relays(&settings, &relays, StdRng::seed_from_u64(seed)) => Vec::new(),
     };
     is_over.store(true, Ordering::SeqCst);
     let ends = timeout(Duration::from_secs(40), join_all(callers)).await;
