Pause before the set of relays is recorded again

Found by reading the diff: two relays whose settings differ for longer than the platform says replace each other's row, and did so without a pause once their handover times were over. Each call is priced, and all share the store's rate.

Change: a conflict is retried after the same growing pause as a failed call. No test of its own: with settings that converge there are a few conflicts at a change, as before.

--- a/components/daemon/src/hosted/relay_handover.rs
+++ b/components/daemon/src/hosted/relay_handover.rs
@@ -53,6 +53,7 @@
 }
 
 impl RelaySet {
+    /// Returns a set that all VMs know.
     fn settled(relays: &[SocketAddr]) -> Self {
         Self { relays: relays.to_vec(), is_settled: true, ..Self::default() }
     }
@@ -128,18 +129,20 @@
         let earliest_end = Instant::now() + self.handover_time;
         let store = self.settings.borrow().store;
         let table = table_client(store, self.timing.store_call_timeout);
+        let mut pause = self.timing.first_retry_pause;
         loop {
             match self.try_settle(&table, relays, earliest_end, is_first_start).await {
                 Ok(true) => return,
-                // Another VM has written the row meanwhile.
+                // Another VM has written the row meanwhile, maybe one with other settings.
                 Ok(false) => {}
                 Err(error) => {
                     self.view.metrics.store_failures.inc();
                     info!(self.view.log, "relay: can't record the set of relays; trying again";
                         "reason" => %error);
-                    sleep(jittered(self.timing.max_failure_pause)).await;
                 }
             }
+            sleep(jittered(pause)).await;
+            pause = self.timing.max_failure_pause.min(pause * 2);
         }
     }
 
