--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -22,7 +22,7 @@
 use crate::byte_budget::ByteBudget;
 use crate::headers::{is_final_status, prepare_response_head};
 use crate::hosted::selection::{discard_body, is_from_server, keep_alive_timeout};
-use crate::hosted::service::ServerLease;
+use crate::hosted::server_lease::ServerLease;
 use crate::pool::{BackendConnection, ReusePolicy};
 use crate::prefixed_body::PrefixedBody;
 use crate::response_body::{ResponseBody, ResponseEnd};
--- a/components/proxy/src/hosted/mod.rs
+++ b/components/proxy/src/hosted/mod.rs
@@ -24,6 +24,7 @@
 mod route_stats;
 mod selection;
 mod server_access;
+mod server_lease;
 mod service;
 
 pub use attempt::MAX_SEND_DELAY;
--- a/components/proxy/src/hosted/selection.rs
+++ b/components/proxy/src/hosted/selection.rs
@@ -20,7 +20,8 @@
 use routes::WireInterface;
 
 use crate::body::BackendRequestBody;
-use crate::hosted::service::{HostedService, ServerLease};
+use crate::hosted::server_lease::ServerLease;
+use crate::hosted::service::HostedService;
 use crate::pool::ReusePolicy;
 
 /// Age below which a load report needs no new probe.
