Reserve the ports of closed test listeners

Cause: FaultProxy::refuse closes its listener, and the port is free again. The kernel can assign it to a listener that another test starts, in the same process or another one. The VM's connections to the cut server then succeed: requests end at a strange server (502, or 200 "s-3 ran it").

Evidence: the test file was run eight at a time, with the time of each bind and refusal written down in a scratch copy. 8 of 120 runs failed: five of this test, and three with requests lost to, or served by, a strange server.

Change: testkit's listeners share their port with a bound socket that doesn't listen and stays open, so that it is refused and assigned to nobody. Servers that restart bind the port again by SO_REUSEPORT. No check changes.

Ruled out: an idle connection from before the cut, since orders use only connections that received something in the last second.

--- a/components/testkit/src/fault_proxy.rs
+++ b/components/testkit/src/fault_proxy.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::process_cuts::ProcessCuts;
+use crate::reserved_ports::listen_at_new_port;
 
 /// Bytes that are read at once from an unlimited connection.
 const BUFFER_BYTES: usize = 16 << 10;
@@ -49,7 +50,7 @@
 
     /// Starts a proxy to `target` that forwards no new connections of the processes in `cuts`.
     pub(crate) async fn start_with_cuts(target: SocketAddr, cuts: ProcessCuts) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let listener = listen_at_new_port();
         let address = listener.local_addr().expect("a bound socket has an address");
         let generation = Arc::new(AtomicU64::new(0));
         let is_partitioned = Arc::new(AtomicBool::new(false));
--- a/components/testkit/src/hosted/raw_server.rs
+++ b/components/testkit/src/hosted/raw_server.rs
@@ -15,10 +15,11 @@
 use routes::{ServerRecord, ServiceName};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use crate::hosted::HEALTH_PATH;
+use crate::reserved_ports::listen_at_new_port;
 
 /// Bytes of each write of a response without end.
 const CHUNK_BYTES: usize = 16 << 10;
@@ -74,7 +75,7 @@
     where
         Script: Future<Output = Option<()>> + Send + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let listener = listen_at_new_port();
         let address = listener.local_addr().expect("a bound socket has an address");
         let state = Arc::new(RawState::default());
         let shared_state = Arc::clone(&state);
--- a/components/testkit/src/hosted/recorded_relay.rs
+++ b/components/testkit/src/hosted/recorded_relay.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::interval;
 use tokio_tungstenite::accept_async;
 use tokio_tungstenite::tungstenite::{Error, Message};
 
+use crate::reserved_ports::listen_at_new_port;
+
 /// Interval at which the last message is repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -33,7 +35,7 @@
 impl RecordedRelay {
     /// Starts a relay that sends these messages to each subscriber, and repeats the last one.
     pub async fn start(messages: Vec<Bytes>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let listener = listen_at_new_port();
         let address = listener.local_addr().expect("a bound socket has an address");
         let subscriptions = Arc::<AtomicU64>::default();
         let counter = Arc::clone(&subscriptions);
--- a/components/testkit/src/hosted/server.rs
+++ b/components/testkit/src/hosted/server.rs
@@ -1,12 +1,12 @@
 //! Fake servers with the wire interface of the hosting platform.
 
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -154,8 +154,7 @@
             crash_text: Mutex::default(),
             restart_count: AtomicU64::new(0),
         });
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = serve(&state, any_port).await.expect("a loopback port is free");
+        let server = WebServer::start(handler(&state)).await;
         let record = ServerRecord {
             id: id.parse().expect("the name is valid"),
             started_at_ms: 1,
@@ -183,7 +182,7 @@
             self.state.crash_notify.notified().await;
             self.crash();
             sleep(downtime).await;
-            let server = serve(&self.state, self.record.address).await;
+            let server = WebServer::start_again(self.record.address, handler(&self.state));
             *self.web_server() = Some(server.expect("the address of a crashed server is free"));
             record.started_at_ms += 1;
             record.sequence = 1;
@@ -291,13 +290,15 @@
     }
 }
 
-async fn serve(state: &Arc<ServerState>, address: SocketAddr) -> std::io::Result<WebServer> {
-    let handler_state = Arc::clone(state);
-    let handler = move |request| {
-        let state = Arc::clone(&handler_state);
-        async move { state.handle(request).await }
-    };
-    WebServer::start_at(address, handler).await
+fn handler(
+    state: &Arc<ServerState>,
+) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, Option<Response<WebBody>>> + Clone + Send + use<>
+{
+    let state = Arc::clone(state);
+    move |request| {
+        let state = Arc::clone(&state);
+        Box::pin(async move { state.handle(request).await })
+    }
 }
 
 /// Marks a run as cancelled if dropped before the run is finished.
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 mod process;
 mod process_cuts;
 mod property_tests;
+mod reserved_ports;
 mod soak;
 #[cfg(test)]
 mod tests;
--- a/components/testkit/src/web.rs
+++ b/components/testkit/src/web.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::reserved_ports::{listen_again, listen_at_new_port};
+
 /// Body of a response; an error closes the connection within the body.
 pub(crate) type WebBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -38,17 +40,23 @@
         F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
         R: Future<Output = Option<Response<WebBody>>> + Send + 'static,
     {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        Self::start_at(any_port, handler).await.expect("a loopback port is free")
+        Self::start_with(listen_at_new_port(), handler)
+    }
+
+    /// Serves on the address of a stopped server like `start`.
+    pub(crate) fn start_again<F, R>(address: SocketAddr, handler: F) -> std::io::Result<Self>
+    where
+        F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+        R: Future<Output = Option<Response<WebBody>>> + Send + 'static,
+    {
+        Ok(Self::start_with(listen_again(address)?, handler))
     }
 
-    /// Serves on `address` like `start`.
-    pub(crate) async fn start_at<F, R>(address: SocketAddr, handler: F) -> std::io::Result<Self>
+    fn start_with<F, R>(listener: TcpListener, handler: F) -> Self
     where
         F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
         R: Future<Output = Option<Response<WebBody>>> + Send + 'static,
     {
-        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr().expect("a bound socket has an address");
         let connection_count = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&connection_count);
@@ -73,7 +81,7 @@
                 });
             }
         });
-        Ok(Self { address, connection_count, task })
+        Self { address, connection_count, task }
     }
 }
 
