Send chunked bodies with any method

What callers saw: a GET with a chunked body of over 1 MiB (at the project's own interface: of any size) was answered by a server that had received no body.

Cause: such a body is streamed, and hyper's client sends a body of unknown length with GET, HEAD and CONNECT only if the header has Transfer-Encoding, which is hop-by-hop and was removed.

Change: requests with a body of unknown length get the field, at both interfaces and to other VMs.

Ruled out: bodies with a Content-Length (hyper sends them with any method) and buffered ones, whose length is known.

--- a/components/proxy/src/dispatch.rs
+++ b/components/proxy/src/dispatch.rs
@@ -20,7 +20,9 @@
 use crate::exchange::{
     ExchangeFailure, ExchangeLease, ExchangeOptions, ServerResponse, connect, run_exchange,
 };
-use crate::headers::{DRAIN_HEADER, RETRY_HEADER, is_retry, set_remaining_time};
+use crate::headers::{
+    DRAIN_HEADER, RETRY_HEADER, is_retry, set_chunked_framing, set_remaining_time,
+};
 use crate::pool::ReusePolicy;
 use crate::refusal::{RequestRefusal, RunOutcome};
 use crate::request_body::RequestBody;
@@ -256,6 +258,7 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.target.clone();
         *request.headers_mut() = headers;
+        set_chunked_framing(&mut request);
         let refusals = self.config.spec.refusal_statuses.clone();
         let runtime = Arc::clone(self.runtime);
         let board = Arc::clone(&self.context.board);
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use hyper::body::Body;
 use hyper::header::{
     CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
     TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -12,6 +13,8 @@
 
 use balance::LoadReport;
 
+use crate::body::BackendRequestBody;
+
 /// Remaining time of a request, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "mustardrail-deadline-ms";
 
@@ -76,6 +79,15 @@
     request.contains_key(TRANSFER_ENCODING)
 }
 
+/// Sets the framing of a body of unknown length. Without it, hyper sends no such body with GET, HEAD
+/// and CONNECT.
+pub(crate) fn set_chunked_framing(request: &mut Request<BackendRequestBody>) {
+    let body = request.body();
+    if !body.is_end_stream() && body.size_hint().exact().is_none() {
+        request.headers_mut().insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
+}
+
 /// Closes the caller's connection after the response.
 pub(crate) fn set_connection_close(response: &mut HeaderMap) {
     response.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -30,6 +30,7 @@
 
 use crate::body::BackendRequestBody;
 use crate::dispatch::RequestHead;
+use crate::headers::set_chunked_framing;
 use crate::hosted::attempt::{
     AttemptContext, AttemptOutcome, NotRunReason, RESPONSE_GRACE, ServerResponse, UnknownReason,
     run_attempt,
@@ -527,6 +528,7 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.target.clone();
         *request.headers_mut() = self.head.headers.clone();
+        set_chunked_framing(&mut request);
         request
     }
 
--- a/tests/http_rules.rs
+++ b/tests/http_rules.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,8 +16,8 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use testkit::{
-    BackendBehaviour, CallRequest, RawCaller, TestFleet, TestService, account_record, call,
-    call_with_http10, policy_record, request_text,
+    BackendBehaviour, CallRequest, HostedBehaviour, HostedFleet, RawCaller, TestFleet, TestService,
+    account_record, call, call_with_http10, policy_record, request_text,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -59,6 +60,40 @@
     assert_eq!(service.servers[0].request_count(), before, "a refused request reached a server");
 }
 
+/// Returns a request with a chunked body, with the method in place of its own one.
+fn with_chunked_body(request: &CallRequest, method: &str, body: &str) -> String {
+    let text = request_text(request);
+    let (_, rest) = text.split_once(' ').expect("a request has a method");
+    let head = rest.trim_end_matches("\r\n");
+    let length = body.len();
+    format!(
+        "{method} {head}\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"
+    )
+}
+
+/// Guards against chunked bodies that are left out, since few requests of a method have one. The sizes
+/// are on both sides of what is buffered.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_body_of_any_method_reaches_its_server() {
+    let (fleet, service) = start_fleet(1, 1, &json!({})).await;
+    let behaviour = HostedBehaviour::Run(Duration::from_millis(1));
+    let hosted = HostedFleet::start(Path::new(common::DAEMON_PATH), 1, behaviour).await;
+    for method in ["GET", "HEAD", "OPTIONS", "DELETE", "PUT", "POST"] {
+        for bytes in [3, (1 << 20) - 1, 1 << 20, (1 << 20) + 1, 2 << 20] {
+            let body = "x".repeat(bytes);
+            let request = CallRequest::get(fleet.daemons[0].callers, "shop.test", "/a");
+            send_raw(request.address, &with_chunked_body(&request, method, &body)).await;
+            let served = service.servers[0].served_requests();
+            let last = served.last().expect("the request was served");
+            assert_eq!(last.body.len(), bytes, "own interface: {method}, {}", last.target);
+            let request = hosted.idempotent_request();
+            send_raw(request.address, &with_chunked_body(&request, method, &body)).await;
+            let last = hosted.runs().pop().expect("the request was served");
+            assert_eq!(last.body.len(), bytes, "hosted: {method}, {}", last.target);
+        }
+    }
+}
+
 /// A request with both `Content-Length` and `Transfer-Encoding` is read by its chunks alone and
 /// reaches the server as one request. To prevent request smuggling, bytes after it on the
 /// connection are not read as a request.
