Notice callers that leave while their uploads wait

Cause: after 1 MiB the body wasn't read any further before an attempt, and hyper then doesn't read the connection either. The end of the connection stayed behind the unread bytes: up to some 70 KB of them in the daemon's socket, the others, with the end, in the caller's.

Change: a body is read on while its request waits, up to 4 MiB, in the memory of buffered responses (32 MiB for all, of which the last 4 are left to responses). An error ends the request at once. Where reading has stopped, the connection is checked for its end every 200 ms, at both interfaces.

--- a/components/proxy/src/byte_budget.rs
+++ b/components/proxy/src/byte_budget.rs
@@ -38,6 +38,11 @@
         Self { used: Arc::default(), max_bytes }
     }
 
+    /// Returns the same budget, but without the last part of it.
+    pub(crate) fn without_last(&self, bytes: usize) -> Self {
+        Self { used: Arc::clone(&self.used), max_bytes: self.max_bytes.saturating_sub(bytes) }
+    }
+
     /// Whether a connection may use more bytes.
     pub(crate) fn has_room(&self) -> bool {
         self.used.load(Ordering::Relaxed) < self.max_bytes
--- a/components/proxy/src/byte_budget/tests.rs
+++ b/components/proxy/src/byte_budget/tests.rs
@@ -32,3 +32,14 @@
     drop(part);
     assert!(budget.has_room());
 }
+
+#[test]
+fn use_without_the_last_part_leaves_that_to_others() {
+    let budget = ByteBudget::new(MAX_BYTES);
+    let others = budget.without_last(100);
+    let share = others.take(MAX_BYTES - 100);
+    assert!(!others.has_room());
+    assert!(budget.has_room());
+    drop(share);
+    assert!(others.has_room());
+}
--- a/components/proxy/src/caller_stream.rs
+++ b/components/proxy/src/caller_stream.rs
@@ -5,17 +5,21 @@
 //! that the connection closes. Therefore a connection is closed in stages (RFC 9112, 9.6), whatever
 //! ended it.
 
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::body::{Body, Incoming};
+use hyper::{Request, Version};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::wrapped_stream::WrappedStream;
+use crate::body::BodyError;
+use crate::wrapped_stream::{SharedStream, WrappedStream};
 
 /// Time after the last response in which a caller may read it and close the connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -23,6 +27,54 @@
 /// Bytes that are read at once to be discarded.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
 
+/// Interval between two checks whether a caller has closed its connection, while nothing is read.
+pub(crate) const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Notices that a caller has closed its connection while the HTTP server doesn't read it, as it does
+/// until somebody asks for the rest of a request body.
+#[derive(Clone)]
+pub(crate) struct CloseWatch {
+    stream: SharedStream,
+}
+
+impl CloseWatch {
+    /// Handles a request until its caller closes the connection. An error ends the connection.
+    pub(crate) fn handle<H, F, T>(
+        &self,
+        request: Request<Incoming>,
+        handler: H,
+    ) -> impl Future<Output = Result<T, BodyError>> + use<H, F, T>
+    where
+        H: FnOnce(Request<Incoming>) -> F,
+        F: Future<Output = Result<T, Infallible>>,
+    {
+        // Otherwise the HTTP server reads the connection and notices its end.
+        let may_stop_reading =
+            request.version() < Version::HTTP_2 && !request.body().is_end_stream();
+        let stream = may_stop_reading.then(|| self.stream.clone());
+        let response = handler(request);
+        async move {
+            tokio::select! {
+                biased;
+                Ok(response) = response => Ok(response),
+                () = wait_for_close(stream) => Err(BodyError::CallerDisconnected),
+            }
+        }
+    }
+}
+
+/// Waits until the other end closes a stream; forever without one.
+async fn wait_for_close(stream: Option<SharedStream>) {
+    match stream {
+        Some(stream) => {
+            while !stream.is_read_closed() {
+                sleep(CLOSE_CHECK_INTERVAL).await;
+            }
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// A caller's stream after the HTTP server has dropped it.
 pub(crate) struct ServedStream {
     stream: oneshot::Receiver<TcpStream>,
@@ -32,14 +84,15 @@
 pub(crate) fn wrap_caller_stream<R>(
     stream: TcpStream,
     read: R,
-) -> (impl AsyncRead + AsyncWrite + Unpin + use<R>, ServedStream)
+) -> (impl AsyncRead + AsyncWrite + Unpin + use<R>, CloseWatch, ServedStream)
 where
     R: FnMut(&mut TcpStream, &mut Context<'_>, &mut ReadBuf<'_>) -> Poll<std::io::Result<()>>
         + Unpin,
 {
     let (owner, stream_receiver) = oneshot::channel();
     let wrapped = WrappedStream::lent(stream, read, owner);
-    (wrapped, ServedStream { stream: stream_receiver })
+    let close_watch = CloseWatch { stream: wrapped.shared() };
+    (wrapped, close_watch, ServedStream { stream: stream_receiver })
 }
 
 /// Reads a stream as it is.
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -356,7 +356,7 @@
         lease.record_limit(limit);
     }
     prepare_response_head(&mut parts);
-    let Ok((bytes, is_complete)) = buffer_body(&mut incoming, &lease.service.response_budget).await
+    let Ok((bytes, is_complete)) = buffer_body(&mut incoming, &lease.service.body_budget).await
     else {
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::ConnectionBroken);
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -118,7 +118,7 @@
         prepare_response_head(&mut parts);
         let deadline = self.deadline + RESPONSE_GRACE;
         let buffered =
-            timeout_at(deadline, buffer_body(&mut incoming, &self.service.response_budget)).await;
+            timeout_at(deadline, buffer_body(&mut incoming, &self.service.body_budget)).await;
         let Ok(Ok((bytes, is_complete))) = buffered else {
             return Err(HostedRefusal::NoUsableResponse);
         };
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -32,12 +32,17 @@
 use crate::hosted::route_stats::RouteStatsTable;
 use crate::hosted::service::HostedServices;
 use crate::request_body::{BodyLimits, RequestBody};
+use crate::waiting_body::WaitingBodyReader;
 
 /// Longest time that a request waits for the first configuration and server list, which arrive soon
 /// after the start. Its route, and so its latency target, is not known before. A caller that is
 /// refused comes back after `DEFAULT_RETRY_DELAY`, so a shorter wait brings it no earlier response.
 const STARTUP_CONFIG_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Part of the memory for bodies that is left to responses, and not used for request bodies that are
+/// read on.
+const RESPONSE_BYTES: usize = 4 << 20;
+
 /// Options of a handler, from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct HostedOptions {
@@ -203,7 +208,7 @@
             service.budget().record_request(now);
         }
         progress.service = Some(service.name.clone());
-        let body = self.read_body(table, incoming, deadline).await?;
+        let (body, body_reader) = self.read_body(table, incoming, deadline).await?;
         let request_bytes = body.buffered_bytes() as u64;
         let shape = RequestShape {
             service_time: self.route_stats.service_time(route, requested_time, now),
@@ -239,6 +244,7 @@
         let result = tokio::select! {
             biased;
             result = self.run_with_credit(&mut dispatch) => result,
+            error = read_on(body_reader) => Err(refuse_broken_body(error)),
             () = self.board.wait_for_exit() => Err(dispatch.refusal_at_exit()),
         };
         *progress = dispatch.progress;
@@ -305,22 +311,24 @@
         Ok(RequestHead { method: parts.method, target, headers })
     }
 
-    /// Reads the request body, and buffers it as a whole if it is small enough.
+    /// Reads the request body, and buffers it as a whole if it is small enough. Returns a reader for
+    /// the rest of a longer one.
     async fn read_body(
         &self,
         table: &RouteTable,
         incoming: Incoming,
         deadline: Instant,
-    ) -> Result<RequestBody, HostedRefusal> {
+    ) -> Result<(RequestBody, Option<WaitingBodyReader>), HostedRefusal> {
         let limits = BodyLimits {
             idle_timeout: self.options.body_idle_timeout,
             max_bytes: table.limits.max_body_bytes,
             max_buffered_bytes: self.options.max_buffered_body_bytes,
         };
-        match timeout_at(deadline, RequestBody::prepare_buffered(incoming, limits)).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(BodyError::TooLarge)) => Err(HostedRefusal::BodyTooLarge),
-            _ => Err(HostedRefusal::BodyIncomplete),
+        let budget = self.services.body_budget.without_last(RESPONSE_BYTES);
+        let prepared = RequestBody::prepare_buffered(incoming, limits, &budget);
+        match timeout_at(deadline, prepared).await {
+            Ok(body) => body.map_err(refuse_broken_body),
+            Err(_) => Err(HostedRefusal::BodyIncomplete),
         }
     }
 
@@ -396,6 +404,21 @@
     }
 }
 
+/// Reads on a body; completes if it is broken.
+async fn read_on(reader: Option<WaitingBodyReader>) -> BodyError {
+    match reader {
+        Some(reader) => reader.read_on().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn refuse_broken_body(error: BodyError) -> HostedRefusal {
+    match error {
+        BodyError::TooLarge => HostedRefusal::BodyTooLarge,
+        _ => HostedRefusal::BodyIncomplete,
+    }
+}
+
 fn header_text(value: Option<&HeaderValue>) -> &str {
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
--- a/components/proxy/src/hosted/listener.rs
+++ b/components/proxy/src/hosted/listener.rs
@@ -15,7 +15,7 @@
 use observe::{Logger, warn};
 
 use crate::byte_budget::ByteBudget;
-use crate::caller_stream::LastResponse;
+use crate::caller_stream::{CloseWatch, LastResponse};
 use crate::hosted::handler::HostedHandler;
 use crate::hosted::pipelining::Pipeline;
 use crate::listener::{accept_waiting, last_accept_time, wait_for_stop};
@@ -91,8 +91,9 @@
         let handler = Arc::clone(&self.handler);
         let pipeline = Pipeline::new(handler, self.pipeline_budget.clone(), builder.clone());
         async move {
-            let (stream, served_stream) = pipeline.wrap(stream);
-            let last_response = serve_requests(stream, &builder, pipeline, stop).await;
+            let (stream, close_watch, served_stream) = pipeline.wrap(stream);
+            let last_response =
+                serve_requests(stream, &close_watch, &builder, pipeline, stop).await;
             served_stream.close(last_response).await;
         }
     }
@@ -117,11 +118,13 @@
 /// answered then are cancelled.
 async fn serve_requests(
     stream: impl AsyncRead + AsyncWrite + Unpin,
+    close_watch: &CloseWatch,
     builder: &http1::Builder,
     pipeline: Pipeline,
     stop: watch::Receiver<bool>,
 ) -> LastResponse {
-    let service = service_fn(|request| pipeline.handle(request));
+    let service =
+        service_fn(|request| close_watch.handle(request, |request| pipeline.handle(request)));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = match serve_until_stopped(&pipeline, connection.as_mut(), stop).await {
--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::byte_budget::{ByteBudget, ByteShare};
-use crate::caller_stream::{ServedStream, wrap_caller_stream};
+use crate::caller_stream::{CloseWatch, ServedStream, wrap_caller_stream};
 use crate::headers::set_connection_close;
 use crate::hosted::handler::HostedHandler;
 use crate::hosted::pipelining::read_ahead::{BodyLength, ReadAhead};
@@ -95,11 +95,11 @@
         Self { shared: Arc::new(shared) }
     }
 
-    /// Returns the stream that the HTTP server reads, and what is left of it after that.
+    /// Returns the stream that the HTTP server reads, a watch on it, and what is left of it after that.
     pub(crate) fn wrap(
         &self,
         stream: TcpStream,
-    ) -> (impl AsyncRead + AsyncWrite + Unpin + use<>, ServedStream) {
+    ) -> (impl AsyncRead + AsyncWrite + Unpin + use<>, CloseWatch, ServedStream) {
         let mut reader = PipelineReader::new(self.clone());
         wrap_caller_stream(stream, move |stream, context, buffer| {
             reader.poll_read(stream, context, buffer)
--- a/components/proxy/src/hosted/pipelining/stream.rs
+++ b/components/proxy/src/hosted/pipelining/stream.rs
@@ -3,17 +3,14 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
-use futures_util::FutureExt;
-use tokio::io::{AsyncRead, Interest, ReadBuf, Ready};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use crate::caller_stream::CLOSE_CHECK_INTERVAL;
 use crate::hosted::pipelining::Pipeline;
-
-/// Interval between two checks whether the caller has closed the connection, while nothing is read.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+use crate::wrapped_stream::is_read_closed;
 
 /// Reads a caller's connection and passes on one request at a time.
 pub(super) struct PipelineReader {
@@ -92,8 +89,7 @@
         context: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            let ready = stream.ready(Interest::READABLE).now_or_never().transpose()?;
-            if ready.is_some_and(Ready::is_read_closed) {
+            if is_read_closed(stream) {
                 return Poll::Ready(Ok(()));
             }
             let check =
--- a/components/proxy/src/hosted/service.rs
+++ b/components/proxy/src/hosted/service.rs
@@ -31,7 +31,8 @@
 /// Idle connections kept per server: one for probes and one for a concurrent request.
 const MAX_IDLE_CONNECTIONS_PER_SERVER: usize = 2;
 
-/// Bytes of responses that are read before they are forwarded, of all requests.
+/// Bytes of all requests that are read before they can be forwarded: of responses, and of what follows
+/// the buffered part of a request body.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
 /// State of one service on this entry VM.
@@ -49,8 +50,8 @@
     /// Number of entry VMs that share them.
     fleet_size: AtomicU32,
     pub(crate) pool: ConnectionPool,
-    /// Memory of the VM for responses that are read before they are forwarded.
-    pub(crate) response_budget: ByteBudget,
+    /// Memory of the VM for bodies that are read before they can be forwarded.
+    pub(crate) body_budget: ByteBudget,
     /// Whether this VM reaches servers of any service.
     pub(crate) access: Arc<ServerAccess>,
     /// Last responses from servers of any service.
@@ -226,7 +227,7 @@
     services: ArcSwap<FastMap<ServiceName, Arc<HostedService>>>,
     access: Arc<ServerAccess>,
     contacts: Arc<ServerContacts>,
-    response_budget: ByteBudget,
+    pub(crate) body_budget: ByteBudget,
     /// Credits for requests of client accounts.
     pub quotas: AccountQuotas,
     /// Other entry VMs that serve requests for this one.
@@ -262,7 +263,7 @@
             services: ArcSwap::default(),
             access,
             contacts: Arc::default(),
-            response_budget: ByteBudget::new(MAX_BUFFERED_BYTES),
+            body_budget: ByteBudget::new(MAX_BUFFERED_BYTES),
             quotas,
             helpers: Helpers::default(),
             update_lock: Mutex::new(()),
@@ -482,7 +483,7 @@
             max_connections: AtomicU32::new(0),
             fleet_size: AtomicU32::new(turns.fleet_size(Instant::now())),
             pool: ConnectionPool::with_idle_limit(MAX_IDLE_CONNECTIONS_PER_SERVER),
-            response_budget: self.response_budget.clone(),
+            body_budget: self.body_budget.clone(),
             access: Arc::clone(&self.access),
             contacts: Arc::clone(&self.contacts),
             metrics: self.metrics.clone(),
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod request_body;
 mod response_body;
 mod service;
+mod waiting_body;
 mod wrapped_stream;
 
 pub use claim_coordinator::{ClaimCoordinator, run_claim_transactions};
--- a/components/proxy/src/listener.rs
+++ b/components/proxy/src/listener.rs
@@ -134,11 +134,12 @@
         let handler = Arc::clone(&self.handler);
         let is_http10 = Arc::new(AtomicBool::new(false));
         let last_is_http10 = Arc::clone(&is_http10);
+        let (stream, close_watch, served_stream) = wrap_caller_stream(stream, read_plain);
         let service = service_fn(move |request: Request<Incoming>| {
             last_is_http10.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
-            Arc::clone(&handler).handle(request, caller.ip())
+            let handler = Arc::clone(&handler);
+            close_watch.handle(request, move |request| handler.handle(request, caller.ip()))
         });
-        let (stream, served_stream) = wrap_caller_stream(stream, read_plain);
         let connection = self.builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let graceful_shutdown =
             self.graceful_shutdown.lock().expect("shutdown lock is never poisoned");
--- a/components/proxy/src/request_body.rs
+++ b/components/proxy/src/request_body.rs
@@ -10,7 +10,9 @@
 use tokio::time::{Instant, Sleep, timeout};
 
 use crate::body::{BackendRequestBody, BodyError};
+use crate::byte_budget::ByteBudget;
 use crate::prefixed_body::PrefixedBody;
+use crate::waiting_body::{WaitingBody, WaitingBodyReader};
 
 /// Maximum number of body bytes that are part of a request's fingerprint.
 const MAX_FINGERPRINT_BYTES: usize = 1 << 20;
@@ -33,6 +35,8 @@
     Buffered(Bytes),
     /// A prefix is in memory and the rest is still unread; can be sent once.
     Streamed(Bytes, LimitedBody),
+    /// A prefix is in memory and the rest is read on; can be sent once.
+    Waiting(Bytes, WaitingBody),
     /// The streamed body was taken for an attempt.
     Sent,
 }
@@ -56,20 +60,23 @@
     }
 
     /// Prepares a body and buffers it if it is within the limit, even if its length is unknown. A
-    /// buffered body can't be cut short by a server that responds early.
+    /// buffered body can't be cut short by a server that responds early. Returns a reader for a
+    /// longer one, which takes bytes from `budget`.
     pub(crate) async fn prepare_buffered(
         incoming: Incoming,
         limits: BodyLimits,
-    ) -> Result<Self, BodyError> {
-        let mut body = Self::prepare(incoming, limits).await?;
-        if let Self::Streamed(prefix, rest) = &mut body {
-            let (bytes, is_complete) = rest.read_up_to(limits.max_buffered_bytes as usize).await?;
-            match is_complete {
-                true => return Ok(Self::Buffered(bytes)),
-                false => *prefix = bytes,
-            }
+        budget: &ByteBudget,
+    ) -> Result<(Self, Option<WaitingBodyReader>), BodyError> {
+        let mut rest = match Self::prepare(incoming, limits).await? {
+            Self::Streamed(_, rest) => rest,
+            body => return Ok((body, None)),
+        };
+        let (bytes, is_complete) = rest.read_up_to(limits.max_buffered_bytes as usize).await?;
+        if is_complete {
+            return Ok((Self::Buffered(bytes), None));
         }
-        Ok(body)
+        let (rest, reader) = WaitingBody::new(rest, budget);
+        Ok((Self::Waiting(bytes, rest), Some(reader)))
     }
 
     /// Returns the whole body; `None` if it is or was streamed.
@@ -77,7 +84,7 @@
         match self {
             Self::Empty => Some(&[]),
             Self::Buffered(bytes) => Some(bytes),
-            Self::Streamed(..) | Self::Sent => None,
+            Self::Streamed(..) | Self::Waiting(..) | Self::Sent => None,
         }
     }
 
@@ -85,7 +92,9 @@
     pub(crate) fn buffered_bytes(&self) -> usize {
         match self {
             Self::Empty | Self::Sent => 0,
-            Self::Buffered(bytes) | Self::Streamed(bytes, _) => bytes.len(),
+            Self::Buffered(bytes) | Self::Streamed(bytes, _) | Self::Waiting(bytes, _) => {
+                bytes.len()
+            }
         }
     }
 
@@ -93,7 +102,7 @@
     pub(crate) async fn read_fingerprint_prefix(&mut self) -> Result<Bytes, BodyError> {
         match self {
             Self::Empty | Self::Sent => Ok(Bytes::new()),
-            Self::Buffered(bytes) => Ok(bytes.clone()),
+            Self::Buffered(bytes) | Self::Waiting(bytes, _) => Ok(bytes.clone()),
             Self::Streamed(prefix, body) => {
                 let (bytes, is_complete) = body.read_up_to(MAX_FINGERPRINT_BYTES).await?;
                 if is_complete {
@@ -113,17 +122,19 @@
 
     /// Returns the body for one attempt. A streamed body can be sent only once and is taken.
     pub(crate) fn body_for_attempt(&mut self) -> BackendRequestBody {
-        match self {
-            Self::Empty | Self::Sent => Empty::new().map_err(|never| match never {}).boxed_unsync(),
-            Self::Buffered(bytes) => {
-                Full::new(bytes.clone()).map_err(|never| match never {}).boxed_unsync()
-            }
-            Self::Streamed(..) => {
-                let Self::Streamed(prefix, body) = std::mem::replace(self, Self::Sent) else {
-                    return Empty::new().map_err(|never| match never {}).boxed_unsync();
-                };
+        if let Self::Buffered(bytes) = self {
+            return Full::new(bytes.clone()).map_err(|never| match never {}).boxed_unsync();
+        }
+        match std::mem::replace(self, Self::Sent) {
+            Self::Streamed(prefix, body) => PrefixedBody::new(prefix, body).boxed_unsync(),
+            Self::Waiting(prefix, body) => {
+                body.start_sending();
                 PrefixedBody::new(prefix, body).boxed_unsync()
             }
+            unchanged => {
+                *self = unchanged;
+                Empty::new().map_err(|never| match never {}).boxed_unsync()
+            }
         }
     }
 }
