Send the rest of a request after an early response

What callers saw: a server answered a long upload with 200 before it had read it, kept the connection and read on.

Cause: after the whole response the connection went back to the pool, which closes it if the server has two idle ones (or if it is old, not needed, or its server is not listed). After a response of over 1 MiB it was closed at once. Closing it drops the rest of the request.

Change: put_idle and the end of a streamed response wait, in a task, until hyper has sent the whole request, at most 60 s. Requests without a body, and those sent whole, take the same path as before.

Ruled out: refusals that say that the request was not run, requests past their deadline, and callers that leave; these still close the connection.

--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -192,7 +192,7 @@
     request: Request<BackendRequestBody>,
 ) -> Result<Response<Incoming>, TrySendError<Request<BackendRequestBody>>> {
     let connection = lease.connection.insert(connection);
-    connection.sender.try_send_request(request).await
+    connection.send(request).await
 }
 
 /// Returns the request, if hyper gave it back before writing any of it.
--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -225,7 +225,7 @@
     request: Request<BackendRequestBody>,
 ) -> Result<(Response<Incoming>, BackendConnection), AttemptOutcome> {
     context.is_sent.store(true, Ordering::Release);
-    let mut error = match connection.sender.try_send_request(request).await {
+    let mut error = match connection.send(request).await {
         Ok(response) => return Ok((response, connection)),
         Err(error) => error,
     };
@@ -240,7 +240,7 @@
         return Err(AttemptOutcome::NotRun(reason));
     }
     context.is_sent.store(true, Ordering::Release);
-    let mut error = match connection.sender.try_send_request(request).await {
+    let mut error = match connection.send(request).await {
         Ok(response) => return Ok((response, connection)),
         Err(error) => error,
     };
@@ -427,7 +427,10 @@
     // A caller that reads slowly doesn't extend the time of the server's connection.
     let close_guard = connection.close_at(deadline);
     let on_end = move |body_end| {
-        drop((close_guard, connection));
+        drop(close_guard);
+        if body_end == ResponseEnd::Complete {
+            connection.close_after_request();
+        }
         on_end(body_end);
     };
     let rest = ResponseBody::new(rest, deadline, on_end, ());
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -63,7 +63,7 @@
             let request = self.forwarded_request();
             let can_retry = self.body.can_send();
             let deadline = self.deadline + RESPONSE_GRACE;
-            let sending = connection.sender.try_send_request(request);
+            let sending = connection.send(request);
             let mut error = match timeout_at(deadline, sending).await {
                 Err(_) => {
                     self.helpers.record_failure(helper);
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -8,7 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -42,6 +45,9 @@
 /// Time after a response in which a faulty server may still send a second one.
 const SURPLUS_RESPONSE_WINDOW: Duration = Duration::from_secs(2);
 
+/// Longest time for the rest of a request body after the whole response to the request.
+const MAX_REST_TIME: Duration = Duration::from_secs(60);
+
 /// An open connection, which closes when it is dropped.
 pub(crate) struct BackendConnection {
     pub(crate) sender: SendRequest<BackendRequestBody>,
@@ -54,6 +60,8 @@
     last_response_at: Option<Instant>,
     /// Whether any response was received on it, so that a late copy of that one may follow.
     has_responded: bool,
+    /// Whether the last request had a body, which may still be on its way after the response.
+    has_request_body: bool,
     task: AbortHandle,
     /// Number of open connections to this address, including this one.
     open_count: Arc<AtomicUsize>,
@@ -94,8 +102,9 @@
 }
 
 /// Connections to the backend servers of one service.
+#[derive(Clone)]
 pub(crate) struct ConnectionPool {
-    servers: Mutex<FastMap<SocketAddr, ServerConnections>>,
+    servers: Arc<Mutex<FastMap<SocketAddr, ServerConnections>>>,
     /// Largest number of idle connections to one server.
     idle_limit: usize,
 }
@@ -118,7 +127,7 @@
 impl ConnectionPool {
     /// Creates a pool that keeps at most `idle_limit` idle connections to one server.
     pub(crate) fn with_idle_limit(idle_limit: usize) -> Self {
-        Self { servers: Mutex::default(), idle_limit }
+        Self { servers: Arc::default(), idle_limit }
     }
 
     /// Takes an idle connection out of the pool, if there is one that the policy allows.
@@ -164,9 +173,22 @@
         self.put_idle(connection, now);
     }
 
-    /// Adds a connection to the idle ones after a complete exchange. It is closed instead if the
-    /// limit of idle connections is reached.
-    pub(crate) fn put_idle(&self, mut connection: BackendConnection, now: Instant) {
+    /// Adds a connection to the idle ones after the whole response, once the request has been sent
+    /// too. It is closed instead if the limit of idle connections is reached.
+    pub(crate) fn put_idle(&self, connection: BackendConnection, now: Instant) {
+        if !connection.may_be_sending() {
+            self.add_idle(connection, now);
+            return;
+        }
+        let pool = self.clone();
+        tokio::spawn(async move {
+            if let Some(connection) = connection.finish_request().await {
+                pool.add_idle(connection, Instant::now());
+            }
+        });
+    }
+
+    fn add_idle(&self, mut connection: BackendConnection, now: Instant) {
         if connection.sender.is_closed() {
             return;
         }
@@ -214,6 +236,33 @@
         CloseGuard { timer: timer.abort_handle() }
     }
 
+    /// Sends a request, and waits for the head of the response.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<BackendRequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<BackendRequestBody>>> {
+        self.has_request_body = !request.body().is_end_stream();
+        self.sender.try_send_request(request).await
+    }
+
+    /// Closes the connection after the whole response, once the request has been sent too.
+    pub(crate) fn close_after_request(self) {
+        if self.may_be_sending() {
+            tokio::spawn(self.finish_request());
+        }
+    }
+
+    /// Whether a part of the request may be unsent. A server may respond before it has read all.
+    fn may_be_sending(&self) -> bool {
+        self.has_request_body && !self.sender.is_ready()
+    }
+
+    /// Sends the rest of a request. Returns the connection if it can be used again.
+    async fn finish_request(mut self) -> Option<Self> {
+        let finished = timeout(MAX_REST_TIME, self.sender.ready()).await;
+        finished.is_ok_and(|ready| ready.is_ok()).then_some(self)
+    }
+
     /// Returns the server's address.
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
@@ -314,6 +363,7 @@
         max_idle_time: MAX_IDLE_TIME,
         last_response_at: None,
         has_responded: false,
+        has_request_body: false,
         task: task.abort_handle(),
         open_count: reservation.into_open_count(),
     })
