Start no request behind a response that may break off

What callers saw: three idempotent requests at once on a connection, the first with a response of 1.5 MB.

Cause: pipelined requests start early whatever is in progress before them, but a response of over 1 MiB is passed on before it is complete, and its break ends the connection.

Change: a request isn't started early behind one whose response may have over 1 MiB. Each route keeps a moving share of such responses for that; one bars the next 70 or so.

--- a/components/proxy/src/hosted/attempt.rs
+++ b/components/proxy/src/hosted/attempt.rs
@@ -29,7 +29,11 @@
 
 /// Number of body bytes that are read before a response is streamed. A shorter response is buffered
 /// completely, so that a truncated one can still be replaced by that of another attempt.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
+pub(crate) const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
+
+/// The same for a response that is longer than those of its route before. Requests that are pipelined
+/// behind it may be running.
+pub(crate) const MAX_UNEXPECTED_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Longest time from the start of an attempt until its request is sent: if a pooled connection turns
 /// out to be closed, a new one is opened.
@@ -113,6 +117,8 @@
     pub(crate) limit: Option<RequestRate>,
     /// Size of the body; `None` if it is streamed without a known length.
     pub(crate) body_bytes: Option<u64>,
+    /// Whether the body has more than `MAX_BUFFERED_RESPONSE_BYTES`, or is streamed.
+    pub(crate) is_long: bool,
 }
 
 /// Parameters of one attempt.
@@ -122,6 +128,8 @@
     pub(crate) reuse_policy: ReusePolicy,
     /// Deadline of the request. The server receives the time that remains until then.
     pub(crate) deadline: Instant,
+    /// Number of bytes of the response that are read before it is streamed.
+    pub(crate) max_buffered_bytes: usize,
     /// Whether a byte of the request may have been sent. Cleared again once it is certain that the
     /// request did not run.
     pub(crate) is_sent: Arc<AtomicBool>,
@@ -333,8 +341,8 @@
     AttemptOutcome::NotRun(NotRunReason::Shed)
 }
 
-/// Buffers a short response completely, so that a truncated one never reaches the caller. Streams a
-/// longer one.
+/// Buffers a response completely if it is within the limit, so that a truncated one never reaches the
+/// caller. Streams a longer one.
 async fn read_response(
     lease: ServerLease,
     context: &AttemptContext,
@@ -356,11 +364,13 @@
         lease.record_limit(limit);
     }
     prepare_response_head(&mut parts);
-    let Ok((bytes, is_complete)) = buffer_body(&mut incoming, &lease.service.body_budget).await
-    else {
+    let buffering =
+        buffer_body(&mut incoming, &lease.service.body_budget, context.max_buffered_bytes);
+    let Ok((bytes, is_complete)) = buffering.await else {
         lease.finish(SampleOutcome::Failed, report);
         return AttemptOutcome::Unknown(UnknownReason::ConnectionBroken);
     };
+    let is_long = !is_complete || bytes.len() > MAX_BUFFERED_RESPONSE_BYTES;
     let body_bytes = match is_complete {
         true => Some(bytes.len() as u64),
         false => incoming.size_hint().exact().map(|rest| rest + bytes.len() as u64),
@@ -379,19 +389,27 @@
         };
         streamed_response(parts, bytes, incoming, connection, deadline, on_end)
     };
-    AttemptOutcome::Responded(ServerResponse { http, server, report_age, limit, body_bytes })
+    AttemptOutcome::Responded(ServerResponse {
+        http,
+        server,
+        report_age,
+        limit,
+        body_bytes,
+        is_long,
+    })
 }
 
-/// Reads at least `MAX_BUFFERED_RESPONSE_BYTES` of a body, or all of it if it is shorter; less if
-/// `budget` has no room, of which the bytes use a part. Returns whether the end was reached.
+/// Reads at least `max_bytes` of a body, or all of it if it is shorter; less if `budget` has no room,
+/// of which the bytes use a part. Returns whether the end was reached.
 pub(crate) async fn buffer_body(
     incoming: &mut Incoming,
     budget: &ByteBudget,
+    max_bytes: usize,
 ) -> Result<(Bytes, bool), hyper::Error> {
     let mut buffered = BytesMut::new();
     let mut share = budget.take(0);
     let mut is_complete = false;
-    while !is_complete && buffered.len() < MAX_BUFFERED_RESPONSE_BYTES {
+    while !is_complete && buffered.len() < max_bytes {
         match incoming.frame().await {
             Some(frame) => {
                 if let Ok(data) = frame?.into_data() {
--- a/components/proxy/src/hosted/dispatch.rs
+++ b/components/proxy/src/hosted/dispatch.rs
@@ -69,6 +69,8 @@
     /// Fingerprint of the request, once it is needed.
     pub(crate) fingerprint: OnceLock<Option<Fingerprint>>,
     pub(crate) shape: RequestShape,
+    /// Number of bytes of the response that are read before it is streamed.
+    pub(crate) max_buffered_bytes: usize,
     /// Earlier of the route's timeout and the caller's deadline.
     pub(crate) deadline: Instant,
     /// Time by which the response is wanted: the route's target less the time that the caller spent
@@ -510,6 +512,7 @@
         self.progress.last_server = incarnation.as_ref().map(|incarnation| incarnation.id.clone());
         self.progress.attempts += 1;
         let context = AttemptContext {
+            max_buffered_bytes: self.max_buffered_bytes,
             wire: Arc::clone(self.wire),
             request_id: self.request_id.clone(),
             reuse_policy,
--- a/components/proxy/src/hosted/forward.rs
+++ b/components/proxy/src/hosted/forward.rs
@@ -17,8 +17,8 @@
 use crate::body::BackendRequestBody;
 use crate::headers::prepare_response_head;
 use crate::hosted::attempt::{
-    PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body, buffered_response, set_deadline,
-    streamed_response,
+    MAX_BUFFERED_RESPONSE_BYTES, PROMISE_STATUSES, RESPONSE_GRACE, ServerResponse, buffer_body,
+    buffered_response, set_deadline, streamed_response,
 };
 use crate::hosted::dispatch::HostedDispatch;
 use crate::hosted::refusal::{DEFAULT_RETRY_DELAY, HostedRefusal};
@@ -117,11 +117,12 @@
             server.unwrap_or_else(|| "forwarded".parse().expect("the literal is a valid name"));
         prepare_response_head(&mut parts);
         let deadline = self.deadline + RESPONSE_GRACE;
-        let buffered =
-            timeout_at(deadline, buffer_body(&mut incoming, &self.service.body_budget)).await;
-        let Ok(Ok((bytes, is_complete))) = buffered else {
+        let buffering =
+            buffer_body(&mut incoming, &self.service.body_budget, self.max_buffered_bytes);
+        let Ok(Ok((bytes, is_complete))) = timeout_at(deadline, buffering).await else {
             return Err(HostedRefusal::NoUsableResponse);
         };
+        let is_long = !is_complete || bytes.len() > MAX_BUFFERED_RESPONSE_BYTES;
         let body_bytes = is_complete.then_some(bytes.len() as u64);
         let http = match is_complete {
             true => {
@@ -130,7 +131,7 @@
             }
             false => streamed_response(parts, bytes, incoming, connection, deadline, |_| {}),
         };
-        Ok(ServerResponse { http, server, report_age: None, limit: None, body_bytes })
+        Ok(ServerResponse { http, server, report_age: None, limit: None, body_bytes, is_long })
     }
 }
 
--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -21,7 +21,9 @@
 use crate::dispatch::RequestHead;
 use crate::handler::check_forwardable;
 use crate::headers::{has_chunked_body, read_host, remove_hop_by_hop, set_connection_close};
-use crate::hosted::attempt::{RESPONSE_GRACE, ServerResponse};
+use crate::hosted::attempt::{
+    MAX_BUFFERED_RESPONSE_BYTES, MAX_UNEXPECTED_RESPONSE_BYTES, RESPONSE_GRACE, ServerResponse,
+};
 use crate::hosted::crash_detector::CrashDetector;
 use crate::hosted::dispatch::{DispatchProgress, HostedDispatch};
 use crate::hosted::forward::FORWARDED_HEADER;
@@ -136,6 +138,16 @@
         is_idempotent.then(|| self.route_stats.response_bytes(route))
     }
 
+    /// Whether the response to a request may be long, and so be streamed. If that breaks off, the
+    /// caller's connection ends, and with it all requests behind.
+    pub(crate) fn expects_long_response(&self, request: &Request<Incoming>) -> bool {
+        let Some(table) = self.board.routes() else {
+            return false;
+        };
+        find_route(Some(&table), request)
+            .is_ok_and(|(_, route, _)| self.route_stats.expects_long_response(route))
+    }
+
     /// Handles one request and returns a server's response or a refusal.
     pub(crate) async fn handle(
         self: Arc<Self>,
@@ -237,6 +249,7 @@
             body,
             fingerprint: OnceLock::new(),
             shape,
+            max_buffered_bytes: self.max_buffered_bytes(route),
             deadline,
             target_at: now + route.target_latency.saturating_sub(time_before_attempt),
             progress: std::mem::take(progress),
@@ -248,8 +261,11 @@
             () = self.board.wait_for_exit() => Err(dispatch.refusal_at_exit()),
         };
         *progress = dispatch.progress;
-        if let Some(bytes) = result.as_ref().ok().and_then(|response| response.body_bytes) {
-            self.route_stats.record_response_bytes(route, bytes);
+        if let Ok(response) = &result {
+            self.route_stats.record_length(route, response.is_long);
+            if let Some(bytes) = response.body_bytes {
+                self.route_stats.record_response_bytes(route, bytes);
+            }
         }
         if result.as_ref().is_ok_and(|response| response.http.status().is_success())
             && progress.attempts == 1
@@ -259,6 +275,14 @@
         result
     }
 
+    fn max_buffered_bytes(&self, route: &HostedRoute) -> usize {
+        let is_idempotent = route.execution == ExecutionSemantics::Idempotent;
+        match is_idempotent && !self.route_stats.expects_long_response(route) {
+            true => MAX_UNEXPECTED_RESPONSE_BYTES,
+            false => MAX_BUFFERED_RESPONSE_BYTES,
+        }
+    }
+
     /// Dispatches a request once its client account has a credit for it.
     async fn run_with_credit(
         &self,
--- a/components/proxy/src/hosted/pipelining/mod.rs
+++ b/components/proxy/src/hosted/pipelining/mod.rs
@@ -154,7 +154,9 @@
         let mut state = self.lock();
         state.has_request = true;
         state.is_http10 = request.version() == Version::HTTP_10;
-        let started = state.read_ahead.begin_request(length, may_overlap(request));
+        let may_overlap =
+            may_overlap(request) && !self.shared.handler.expects_long_response(request);
+        let started = state.read_ahead.begin_request(length, may_overlap);
         if started.is_some() && state.read_ahead.started_count() == 0 {
             self.shared.started_taken.notify_waiters();
         }
@@ -223,9 +225,11 @@
                 return;
             };
             handler.metrics().pipelined_requests.inc();
-            let started = read_request(builder, head)
-                .filter(may_overlap)
-                .and_then(|request| StartedRequest::start(handler, budget, request));
+            let request = read_request(builder, head).filter(may_overlap);
+            let ends_overlap =
+                request.as_ref().is_some_and(|request| handler.expects_long_response(request));
+            let started =
+                request.and_then(|request| StartedRequest::start(handler, budget, request));
             match started {
                 Some(started) => {
                     handler.metrics().early_starts.inc();
@@ -233,6 +237,9 @@
                 }
                 None => state.read_ahead.bar(),
             }
+            if ends_overlap {
+                state.read_ahead.bar_following();
+            }
         }
     }
 
--- a/components/proxy/src/hosted/pipelining/read_ahead.rs
+++ b/components/proxy/src/hosted/pipelining/read_ahead.rs
@@ -204,6 +204,11 @@
         self.restart_search();
     }
 
+    /// Makes all heads behind those of started requests wait for the responses before them.
+    pub(super) fn bar_following(&mut self) {
+        self.is_barred = true;
+    }
+
     fn restart_search(&mut self) {
         self.searched = 0;
         self.search = BlankLineSearch::default();
--- a/components/proxy/src/hosted/pipelining/read_ahead/tests.rs
+++ b/components/proxy/src/hosted/pipelining/read_ahead/tests.rs
@@ -119,3 +119,20 @@
     let rest = format!("0\r\n\r\n{READ}");
     assert_eq!(receive(&mut connection, &rest), rest);
 }
+
+#[test]
+fn nothing_behind_a_started_request_is_found_once_that_is_barred() {
+    let mut connection = ReadAhead::new();
+    receive(&mut connection, &format!("{READ}{OTHER}{READ}"));
+    connection.begin_request(NO_BODY, true);
+    assert_eq!(next_head(&mut connection).as_deref(), Some(OTHER));
+    connection.start(1);
+    connection.bar_following();
+    assert_eq!(next_head(&mut connection), None);
+    connection.end_response();
+    assert_eq!(pass_held(&mut connection, 1_000), OTHER);
+    assert_eq!(connection.begin_request(NO_BODY, false), Some(1));
+    assert_eq!(next_head(&mut connection), None);
+    connection.end_response();
+    assert_eq!(pass_held(&mut connection, 1_000), READ);
+}
--- a/components/proxy/src/hosted/route_stats.rs
+++ b/components/proxy/src/hosted/route_stats.rs
@@ -34,6 +34,12 @@
 /// Weight of the newest response in the moving average of the size.
 const NEWEST_SIZE_WEIGHT: f64 = 0.1;
 
+/// Weight of the newest response in the moving share of long ones.
+const NEWEST_LENGTH_WEIGHT: f64 = 0.01;
+
+/// Share of long responses from which further ones are expected.
+const MIN_LONG_SHARE: f64 = 0.005;
+
 /// Statistics of all routes, by route name.
 #[derive(Default)]
 pub(crate) struct RouteStatsTable {
@@ -47,6 +53,8 @@
     confirmed_at: Option<Instant>,
     /// Moving average of the size of response bodies; `None` before the first.
     response_bytes: Option<f64>,
+    /// Moving share of the long responses.
+    long_share: f64,
     requested_times: RequestedTimes,
     credits: Vec<ServiceCredit>,
 }
@@ -118,6 +126,19 @@
         });
     }
 
+    /// Records whether a response was long.
+    pub(crate) fn record_length(&self, route: &HostedRoute, is_long: bool) {
+        let sample = f64::from(u8::from(is_long));
+        self.with_stats(route, |stats| {
+            stats.long_share += (sample - stats.long_share) * NEWEST_LENGTH_WEIGHT;
+        });
+    }
+
+    /// Whether a response may be long, by the last ones of the route.
+    pub(crate) fn expects_long_response(&self, route: &HostedRoute) -> bool {
+        self.with_stats(route, |stats| stats.long_share >= MIN_LONG_SHARE)
+    }
+
     /// Returns how long the caller has spent on earlier attempts of the request. The estimate is
     /// the difference between the time that first attempts allow and `requested_time`.
     pub(crate) fn time_before_attempt(
@@ -154,6 +175,7 @@
             service_seconds: response_goal_seconds(route) * INITIAL_SERVICE_TIME_FRACTION,
             confirmed_at: None,
             response_bytes: None,
+            long_share: 0.0,
             requested_times: RequestedTimes::default(),
             credits: Vec::new(),
         });
--- a/components/proxy/src/hosted/route_stats/tests.rs
+++ b/components/proxy/src/hosted/route_stats/tests.rs
@@ -55,3 +55,18 @@
     }
     assert!(stats.service_time(&route, LONG_DEADLINE, later) < SHORT_DEADLINE);
 }
+
+/// One in a hundred is enough, once there were a few of them.
+#[test]
+fn long_response_is_expected_while_some_are_long() {
+    let (stats, route) = (RouteStatsTable::default(), slow_route());
+    assert!(!stats.expects_long_response(&route));
+    for index in 0..1_000 {
+        stats.record_length(&route, index % 100 == 0);
+        assert!(stats.expects_long_response(&route) || index % 100 > 60, "after {index}");
+    }
+    for _ in 0..200 {
+        stats.record_length(&route, false);
+    }
+    assert!(!stats.expects_long_response(&route));
+}
