Compute the size of a body with a prefix in one place

Cause: reading the change as a newcomer. The size of a body with bytes before it was computed twice, and RESPONSE_BYTES didn't say that it is what request bodies leave to responses. No behaviour changes.

--- a/components/proxy/src/hosted/handler.rs
+++ b/components/proxy/src/hosted/handler.rs
@@ -41,9 +41,8 @@
 /// refused comes back after `DEFAULT_RETRY_DELAY`, so a shorter wait brings it no earlier response.
 const STARTUP_CONFIG_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Part of the memory for bodies that is left to responses, and not used for request bodies that are
-/// read on.
-const RESPONSE_BYTES: usize = 4 << 20;
+/// Part of the memory for bodies that request bodies leave to responses.
+const RESERVED_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Options of a handler, from the settings.
 #[derive(Debug, Clone, Copy)]
@@ -348,7 +347,7 @@
             max_bytes: table.limits.max_body_bytes,
             max_buffered_bytes: self.options.max_buffered_body_bytes,
         };
-        let budget = self.services.body_budget.without_last(RESPONSE_BYTES);
+        let budget = self.services.body_budget.without_last(RESERVED_RESPONSE_BYTES);
         let prepared = RequestBody::prepare_buffered(incoming, limits, &budget);
         match timeout_at(deadline, prepared).await {
             Ok(body) => body.map_err(refuse_broken_body),
--- a/components/proxy/src/prefixed_body.rs
+++ b/components/proxy/src/prefixed_body.rs
@@ -41,13 +41,17 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix_bytes = self.prefix.len() as u64;
-        let rest = self.body.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(prefix_bytes + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(prefix_bytes + upper);
-        }
-        hint
+        size_with_prefix(self.prefix.len(), &self.body.size_hint())
+    }
+}
+
+/// Returns the size of a body that consists of `prefix_bytes` and a rest.
+pub(crate) fn size_with_prefix(prefix_bytes: usize, rest: &SizeHint) -> SizeHint {
+    let prefix_bytes = prefix_bytes as u64;
+    let mut hint = SizeHint::new();
+    hint.set_lower(prefix_bytes + rest.lower());
+    if let Some(upper) = rest.upper() {
+        hint.set_upper(prefix_bytes + upper);
     }
+    hint
 }
--- a/components/proxy/src/waiting_body.rs
+++ b/components/proxy/src/waiting_body.rs
@@ -15,6 +15,7 @@
 
 use crate::body::BodyError;
 use crate::byte_budget::{ByteBudget, ByteShare};
+use crate::prefixed_body::size_with_prefix;
 use crate::request_body::LimitedBody;
 
 /// Bytes of one body at which it isn't read any further. Behind more, the end of the connection goes
@@ -148,13 +149,6 @@
 
     fn size_hint(&self) -> SizeHint {
         let state = self.lock();
-        let rest = state.body.size_hint();
-        let read_bytes = state.read_bytes as u64;
-        let mut hint = SizeHint::new();
-        hint.set_lower(read_bytes + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(read_bytes + upper);
-        }
-        hint
+        size_with_prefix(state.read_bytes, &state.body.size_hint())
     }
 }
