--- a/review/standins-3/src/daemon.rs
+++ b/review/standins-3/src/daemon.rs
@@ -2,7 +2,7 @@
 //! a small deployment.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -18,11 +18,14 @@
     child: Mutex<Option<Child>>,
 }
 
-/// Returns a free loopback address. The listeners are kept until all are drawn, so that none is
-/// drawn twice.
+/// Returns free loopback addresses of this process, at an IP address of its own: connections that
+/// others open, from 127.0.0.1, then take none of the ports before the daemons listen.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 10 + high % 200, low, 1);
+    // The listeners are kept until all addresses are drawn, so that none is drawn twice.
     let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        (0..count).map(|_| TcpListener::bind((ip, 0)).expect("a free port")).collect();
     listeners.iter().map(|listener| listener.local_addr().expect("it is bound")).collect()
 }
 
--- a/review/standins-3/src/pipelined.rs
+++ b/review/standins-3/src/pipelined.rs
@@ -15,6 +15,11 @@
 const PACKS: &str = "galeria";
 const READS: &str = "preguntas";
 
+const DAEMONS: usize = 6;
+
+/// Time in which each daemon gets some 80 other downloads.
+const ROUND_PAUSE: Duration = Duration::from_secs(12);
+
 /// Look-ups that the client sends behind a download.
 const LOOKUPS: usize = 8;
 
@@ -38,7 +43,7 @@
         Worker::start(&store, options)
     };
     let workers: Vec<Arc<Worker>> = (0..6).map(worker).collect();
-    let Some(fleet) = Fleet::start(&store, workers, 3) else {
+    let Some(fleet) = Fleet::start(&store, workers, DAEMONS) else {
         record.line("the daemons did not start");
         return 2;
     };
@@ -54,8 +59,12 @@
         "i-0 has given {answers} answers; its next large one breaks off: {has_trouble}"
     ));
     let mut lost = 0;
-    for attempt in 0..8 {
-        let callers = fleet.daemons[attempt % 3].callers;
+    for attempt in 0..2 * DAEMONS {
+        if attempt == DAEMONS {
+            // By then the daemons have forgotten the long answers of the first round.
+            std::thread::sleep(ROUND_PAUSE);
+        }
+        let callers = fleet.daemons[attempt % DAEMONS].callers;
         let ids: Vec<String> = (0..=LOOKUPS).map(|number| format!("c{attempt}-{number}")).collect();
         let sent_at = Instant::now();
         let answered = send_pipelined(callers, &ids);
